--- /dev/null
+++ b/crates/turmeric-admission/src/lib.rs
@@ -0,0 +1,13 @@
+//! Admission of requests: keys, queues, fences and retry budgets.
+//!
+//! All code here is pure: it takes events and the time and returns decisions.
+
+mod budget;
+mod fence;
+mod keys;
+mod queue;
+
+pub use budget::RetryBudget;
+pub use fence::{AdmitDecision, FENCE_TERM, ProbeAnswer, RequestFence};
+pub use keys::{CLOCK_SKEW, ClaimDecision, KEY_WINDOW, KeyLedger, RecordedAnswer, RequestPrint};
+pub use queue::{QueueDecision, QueueEvent, QueueLimits, RequestQueue, TicketId};
--- /dev/null
+++ b/crates/turmeric-daemon/src/agent.rs
@@ -0,0 +1,103 @@
+//! The role agent: one process beside each endpoint on a worker.
+
+mod admission;
+mod endpoint;
+mod forward;
+mod keys;
+mod poll_loop;
+mod router;
+mod state;
+mod watch;
+mod worker_loop;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+use spdlog::{info, warn};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use turmeric_worker::WorkerClient;
+
+use crate::clock::ProcessClock;
+use crate::config::AgentConfig;
+use crate::http;
+use crate::lifecycle::LifecycleEvent;
+use crate::timeline::TimelineEvent;
+use state::AgentState;
+
+pub(crate) use keys::{ClaimAnswer, ClaimRequest, KeyOutcome, OutcomeRequest};
+
+/// Pause between tries to reach the worker at the start.
+const ATTACH_PAUSE: Duration = Duration::from_millis(200);
+
+/// Pause between looks at what is in progress during a planned stop.
+const DRAIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time for which a stopping agent still tells entries of its stop.
+const FAREWELL_TERM: Duration = Duration::from_millis(500);
+
+/// Runs an agent until a planned stop.
+pub(crate) async fn run(config: AgentConfig) -> Result<()> {
+    let clock = ProcessClock::new();
+    let listener = TcpListener::bind(config.common.listen)
+        .await
+        .wrap_err_with(|| format!("listening at {}", config.common.listen))?;
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("handling SIGTERM")?;
+    let worker = WorkerClient::new(config.worker_address);
+    let status = tokio::select! {
+        status = attach(&worker, &clock) => status,
+        _ = terminate.recv() => return Ok(()),
+    };
+    let state = Arc::new(AgentState::new(config, clock, worker, &status)?);
+    info!("attached to the worker", kv: {
+        agent = state.agent.to_string(),
+        incarnation = state.incarnation.get(),
+        tasks = status.tasks.len(),
+    });
+    let mut lost_worker = tokio::spawn(worker_loop::run(state.clone(), status.instance));
+    for slot in 0..state.config.entries.len() {
+        tokio::spawn(poll_loop::run(state.clone(), slot));
+    }
+    let router = router::build(state.clone());
+    let server = tokio::spawn(async move { http::serve(listener, router).await });
+    state.lifecycle.handle(LifecycleEvent::Prepared);
+    tokio::select! {
+        _ = terminate.recv() => {}
+        lost = &mut lost_worker => {
+            server.abort();
+            return lost.wrap_err("watching the worker")?;
+        }
+    }
+    drain(&state).await;
+    server.abort();
+    Ok(())
+}
+
+/// Attaches to the worker, which then refuses earlier lives of this agent.
+async fn attach(worker: &WorkerClient, clock: &ProcessClock) -> turmeric_worker::WorkerStatus {
+    loop {
+        match worker.attach(clock.incarnation()).await {
+            Ok(status) => return status,
+            Err(error) => warn!("cannot attach to the worker: {error}"),
+        }
+        tokio::time::sleep(ATTACH_PAUSE).await;
+    }
+}
+
+/// Refuses new work, tells the entries, and lets what is in progress finish.
+async fn drain(state: &AgentState) {
+    state.lifecycle.handle(LifecycleEvent::StopAsked);
+    state.tasks().set_draining();
+    state
+        .timeline
+        .add(TimelineEvent::new("drain", "planned stop of the agent"));
+    state.wake_polls();
+    let limit = state.clock.now().after(state.config.common.drain_limit);
+    tokio::time::sleep(FAREWELL_TERM).await;
+    while state.outstanding() > 0 && state.clock.now() < limit {
+        tokio::time::sleep(DRAIN_PAUSE).await;
+    }
+    state.lifecycle.handle(LifecycleEvent::Idle);
+    info!("planned stop", kv: { outstanding = state.outstanding() });
+}
--- /dev/null
+++ b/crates/turmeric-daemon/src/agent/worker_loop.rs
@@ -0,0 +1,194 @@
+//! Calls to the worker: its status, and what the tasks' state asks for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::{Result, bail};
+use spdlog::{info, warn};
+use turmeric_learning::ThrottleStep;
+use turmeric_tasks::AgentAction;
+use turmeric_worker::{StartRequest, StopRequest, ThrottleRequest};
+
+use super::state::AgentState;
+use super::watch::WorkerView;
+use crate::timeline::TimelineEvent;
+
+/// Pause between two readings of the worker's status.
+const STATUS_PAUSE: Duration = Duration::from_millis(500);
+
+/// Watches the worker until the VM with number `instance` is gone.
+pub(crate) async fn run(state: Arc<AgentState>, instance: u32) -> Result<()> {
+    let mut has_endpoint = false;
+    loop {
+        tokio::time::sleep(STATUS_PAUSE).await;
+        let mark = state.tasks().begin_status();
+        match state.worker.status().await {
+            Ok(status) if status.instance != instance => {
+                bail!("the worker was replaced; this agent's life is over");
+            }
+            Ok(status) => {
+                let actions = state.tasks().take_status(mark, &status);
+                spawn_actions(&state, actions);
+            }
+            Err(error) => warn!("no status from the worker: {error}"),
+        }
+        let endpoint_now = state.endpoint().at(state.clock.now()).is_some();
+        if endpoint_now != has_endpoint {
+            has_endpoint = endpoint_now;
+            state.wake_polls();
+        }
+        learn_harm(&state);
+        relieve_service(&state);
+        apply_speed(&state).await;
+        state.wake_polls_with_news();
+    }
+}
+
+fn view_worker(state: &AgentState) -> WorkerView {
+    let tasks = state.tasks();
+    WorkerView {
+        harm_permille: tasks.harm_permille(),
+        tasks: tasks.meter_tasks(),
+        capacity: tasks.capacity().cores,
+    }
+}
+
+/// Learns what the tasks do to the service, and what it can bear.
+fn learn_harm(state: &AgentState) {
+    let now = state.clock.now();
+    let endpoint = state.endpoint().at(now).cloned();
+    let Some(endpoint) = endpoint else {
+        return;
+    };
+    let view = view_worker(state);
+    let (samples, budget) = {
+        let mut watch = state.watch();
+        let samples = watch.look(&endpoint.service, endpoint.slots, &view, now);
+        (samples, watch.harm_budget())
+    };
+    let mut tasks = state.tasks();
+    tasks.set_harm_budget(budget);
+    for (kind, sample) in &samples {
+        tasks.note_harm(kind, sample);
+    }
+}
+
+/// Slows batch tasks, or evicts one, while requests are late.
+fn relieve_service(state: &Arc<AgentState>) {
+    let has_batch = state.tasks().has_batch();
+    let step = state.watch().step(has_batch, state.clock.now());
+    match step {
+        ThrottleStep::Keep => {}
+        ThrottleStep::Speed(percent) => {
+            let text = format!("batch tasks run at {percent}%");
+            state
+                .timeline
+                .add(TimelineEvent::new("throttle", text).with_agent(&state.agent));
+        }
+        ThrottleStep::Evict => {
+            let action = state.tasks().relieve_service();
+            spawn_actions(state, action.into_iter().collect());
+        }
+    }
+}
+
+/// Asks the worker for the speed of batch tasks until it confirms it.
+async fn apply_speed(state: &AgentState) {
+    let Some(speed_percent) = state.watch().unconfirmed_speed() else {
+        return;
+    };
+    if speed_percent < 100 {
+        state.tasks().set_batch_speed(speed_percent);
+    }
+    let request = ThrottleRequest {
+        incarnation: state.incarnation,
+        speed_percent,
+    };
+    if let Err(error) = state.worker.throttle(&request).await {
+        warn!("the speed of batch tasks was not set: {error}");
+        return;
+    }
+    state.tasks().set_batch_speed(speed_percent);
+    state.watch().confirm_speed(speed_percent);
+    state.metrics.count("throttle");
+}
+
+/// Makes the calls; none of them waits for another.
+///
+/// The worker orders them by attempt, incarnation and its own clock.
+pub(crate) fn spawn_actions(state: &Arc<AgentState>, actions: Vec<AgentAction>) {
+    for action in actions {
+        let state = state.clone();
+        match action {
+            AgentAction::Start(request) => {
+                tokio::spawn(start(state, request));
+            }
+            AgentAction::Stop(request) => {
+                let key = (request.task, request.attempt);
+                if state.stopping().insert(key) {
+                    tokio::spawn(stop(state, request));
+                }
+            }
+            AgentAction::Renew(renewals) => {
+                tokio::spawn(async move {
+                    if let Err(error) = state.worker.renew(state.incarnation, renewals).await {
+                        warn!("leases were not renewed: {error}");
+                    }
+                });
+            }
+            AgentAction::Attach => {
+                tokio::spawn(async move {
+                    if let Err(error) = state.worker.attach(state.incarnation).await {
+                        warn!("cannot attach to the worker: {error}");
+                    }
+                });
+            }
+        }
+    }
+}
+
+async fn start(state: Arc<AgentState>, request: StartRequest) {
+    let result = state.worker.start(&request).await;
+    let event = match &result {
+        Ok(()) => TimelineEvent::new("start", format!("attempt {}", request.attempt)),
+        Err(error) => TimelineEvent::new("start-failed", error.to_string()),
+    };
+    state.timeline.add(
+        event
+            .with_task(request.task)
+            .with_agent(&state.agent)
+            .with_zone(&state.config.common.zone),
+    );
+    state.metrics.count("task.start");
+    state
+        .tasks()
+        .start_done(request.task, request.attempt, &result);
+    state.wake_polls_with_news();
+}
+
+async fn stop(state: Arc<AgentState>, request: StopRequest) {
+    let result = state.worker.stop(&request).await;
+    state.stopping().remove(&(request.task, request.attempt));
+    match &result {
+        Ok(answer) => {
+            let text = format!("{:?} of attempt {}", request.kind, request.attempt);
+            state.timeline.add(
+                TimelineEvent::new("stop", text)
+                    .with_task(request.task)
+                    .with_agent(&state.agent),
+            );
+            info!("stopped", kv: {
+                task = request.task.to_string(),
+                attempt = request.attempt.get(),
+                checkpoint_millis = answer.checkpoint_millis,
+            });
+        }
+        Err(error) => warn!("a task was not stopped: {error}", kv: {
+            task = request.task.to_string(),
+        }),
+    }
+    state
+        .tasks()
+        .stop_done(request.task, request.attempt, &result);
+    state.wake_polls_with_news();
+}
--- /dev/null
+++ b/crates/turmeric-daemon/src/config/options.rs
@@ -0,0 +1,147 @@
+//! Settings that both roles have.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use spdlog::Level;
+use turmeric_tasks::LeaseTerms;
+
+use super::FlagSpec;
+use super::reader::FlagReader;
+
+/// Bounds of the run term of a lease.
+const TASK_LEASE_BOUNDS: (Duration, Duration) = (Duration::from_secs(3), Duration::from_secs(3600));
+
+/// Bounds of the time for a planned stop.
+const DRAIN_BOUNDS: (Duration, Duration) = (Duration::ZERO, Duration::from_secs(600));
+
+pub(crate) const COMMON_FLAGS: &[FlagSpec] = &[
+    FlagSpec {
+        name: "listen",
+        default: None,
+        help: "IP address and port for HTTP, for example 10.0.0.5:7400",
+    },
+    FlagSpec {
+        name: "region",
+        default: None,
+        help: "Region this process runs in, for example morava",
+    },
+    FlagSpec {
+        name: "zone",
+        default: None,
+        help: "Availability zone this process runs in, for example morava-a",
+    },
+    FlagSpec {
+        name: "log-form",
+        default: Some("text"),
+        help: "Form of the log: text, or json for a JSON object a line",
+    },
+    FlagSpec {
+        name: "log-level",
+        default: Some("info"),
+        help: "Least severe level to log: error, warn, info, debug or trace",
+    },
+    FlagSpec {
+        name: "metrics",
+        default: None,
+        help: "IP address and port to which metrics are sent over UDP; none: not sent",
+    },
+    FlagSpec {
+        name: "task-lease",
+        default: Some("15s"),
+        help: "Time for which a task runs on without word from its owner; the same for all processes",
+    },
+    FlagSpec {
+        name: "drain-limit",
+        default: Some("30s"),
+        help: "Longest time that a planned stop waits for requests in progress",
+    },
+];
+
+/// Form of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LogForm {
+    /// For people.
+    Text,
+    /// A JSON object a line.
+    Json,
+}
+
+impl FromStr for LogForm {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(format!("{text:?} is not text or json")),
+        }
+    }
+}
+
+/// How the process logs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LogOptions {
+    pub(crate) form: LogForm,
+    pub(crate) level: Level,
+}
+
+/// Settings that both roles have.
+#[derive(Clone, Debug)]
+pub(crate) struct CommonConfig {
+    pub(crate) listen: SocketAddr,
+    pub(crate) region: String,
+    pub(crate) zone: turmeric_types::ZoneName,
+    pub(crate) log: LogOptions,
+    pub(crate) metrics: Option<SocketAddr>,
+    pub(crate) terms: LeaseTerms,
+    pub(crate) drain_limit: Duration,
+}
+
+impl CommonConfig {
+    /// Reads the settings; findings stay in the reader.
+    pub(crate) fn read(reader: &mut FlagReader<'_>) -> Option<Self> {
+        let listen = reader.address("listen");
+        let region = reader.value::<turmeric_types::ZoneName>("region");
+        let zone = reader.value("zone");
+        let form = reader.value("log-form");
+        let level = reader.value::<LogLevel>("log-level");
+        let metrics = reader.optional("metrics");
+        let lease = reader.term("task-lease", TASK_LEASE_BOUNDS.0, TASK_LEASE_BOUNDS.1);
+        let drain_limit = reader.term("drain-limit", DRAIN_BOUNDS.0, DRAIN_BOUNDS.1);
+        Some(Self {
+            listen: listen?,
+            region: region?.to_string(),
+            zone: zone?,
+            log: LogOptions {
+                form: form?,
+                level: level?.0,
+            },
+            metrics: metrics?,
+            terms: LeaseTerms::new(lease?),
+            drain_limit: drain_limit?,
+        })
+    }
+}
+
+/// A log level as operators write it.
+struct LogLevel(Level);
+
+impl FromStr for LogLevel {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let level = match text {
+            "error" => Level::Error,
+            "warn" => Level::Warn,
+            "info" => Level::Info,
+            "debug" => Level::Debug,
+            "trace" => Level::Trace,
+            _ => {
+                return Err(format!("{text:?} is not error, warn, info, debug or trace"));
+            }
+        };
+        Ok(Self(level))
+    }
+}
--- /dev/null
+++ b/crates/turmeric-daemon/src/entry/attempts.rs
@@ -0,0 +1,199 @@
+//! The attempts of one request, until one gives an answer or none may follow.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use axum::body::Body;
+use axum::http::Response;
+use turmeric_types::{AgentId, RefusalProof, RequestId, RequestOutcome};
+use uuid::Uuid;
+
+use super::answer::{RETRY_BASE, spread};
+use super::body::RequestBody;
+use super::dispatch::{AttemptPlan, AttemptResult, attempt};
+use super::routes::AgentLink;
+use super::state::EntryState;
+use super::trial::{RoutingDecision, TrialOutcome, TrialSpan};
+use crate::headers;
+use crate::http::set_header;
+use crate::timeline::TimelineEvent;
+
+/// Most attempts for one request.
+const ATTEMPT_LIMIT: usize = 3;
+
+/// The final result of all attempts.
+pub(super) struct ServeResult {
+    pub(super) outcome: RequestOutcome<Response<Body>>,
+    pub(super) retry_after: Duration,
+    /// The last attempt got stuck in a silent connection and was fenced, so
+    /// sending it again adds nothing to the endpoint's load.
+    never_arrived: bool,
+}
+
+/// Serves the request by the policy that is in force for it.
+pub(super) async fn run_attempts(
+    state: &Arc<EntryState>,
+    plan: AttemptPlan,
+    body: RequestBody,
+) -> ServeResult {
+    let decision = RoutingDecision::new(state, &plan);
+    let span = TrialSpan::new(state, &decision, Instant::now());
+    let mut result = make_attempts(state, &decision, plan, body).await;
+    span.end(match &result.outcome {
+        RequestOutcome::Answered(_) => TrialOutcome::Answered,
+        RequestOutcome::NotRun(_) => TrialOutcome::Refused,
+        RequestOutcome::Unknown => TrialOutcome::Unknown,
+    });
+    if let RequestOutcome::Answered(response) = &mut result.outcome {
+        name_decision(response, &decision);
+    }
+    result
+}
+
+/// Tells the caller which policy decided, and for which experiment.
+fn name_decision(response: &mut Response<Body>, decision: &RoutingDecision) {
+    let answer_headers = response.headers_mut();
+    set_header(answer_headers, headers::POLICY, &decision.policy);
+    if let Some(trial) = &decision.trial {
+        set_header(answer_headers, headers::EXPERIMENT, &trial.run);
+        set_header(answer_headers, headers::ARM, &trial.arm);
+    }
+}
+
+/// Makes attempts until one gives an answer or none may follow.
+async fn make_attempts(
+    state: &Arc<EntryState>,
+    decision: &RoutingDecision,
+    mut plan: AttemptPlan,
+    mut body: RequestBody,
+) -> ServeResult {
+    state.routes().budget(&plan.head.caller).earn();
+    let mut tried: Vec<AgentId> = Vec::new();
+    let mut may_have_run = false;
+    let mut last = ServeResult {
+        outcome: RequestOutcome::NotRun(RefusalProof::NeverSent),
+        retry_after: spread(state, RETRY_BASE),
+        never_arrived: false,
+    };
+    for turn in 0..ATTEMPT_LIMIT {
+        if turn > 0 && !may_retry(state, &plan, &last, &body) {
+            break;
+        }
+        let now = state.clock.now();
+        let chosen = state
+            .routes()
+            .begin(&plan.head.service, decision.policy, &tried, now);
+        let (Some(link), Some(body)) = (chosen, body.take()) else {
+            break;
+        };
+        if turn > 0 {
+            plan.request = new_request_id();
+        }
+        let mut guard = RouteGuard::new(state, &link, &plan);
+        let result = attempt(state, &link, &plan, body).await;
+        guard.is_settled = true;
+        if !result.is_connection_failure {
+            tried.push(link.agent.clone());
+        }
+        note_attempt(state, &link, &plan, &result);
+        let retry_after = result
+            .retry_after
+            .unwrap_or_else(|| spread(state, RETRY_BASE));
+        let outcome = if may_have_run {
+            result.outcome.after_unknown()
+        } else {
+            result.outcome
+        };
+        let is_refused = matches!(outcome, RequestOutcome::NotRun(_));
+        may_have_run |= matches!(outcome, RequestOutcome::Unknown);
+        last = ServeResult {
+            outcome,
+            retry_after,
+            never_arrived: result.is_connection_failure && is_refused,
+        };
+        if matches!(last.outcome, RequestOutcome::Answered(_)) {
+            break;
+        }
+    }
+    last
+}
+
+/// Counts a request out again when its caller leaves.
+struct RouteGuard<'a> {
+    state: &'a EntryState,
+    link: &'a AgentLink,
+    service: turmeric_types::ServiceName,
+    is_settled: bool,
+}
+
+impl<'a> RouteGuard<'a> {
+    fn new(state: &'a EntryState, link: &'a AgentLink, plan: &AttemptPlan) -> Self {
+        Self {
+            state,
+            link,
+            service: plan.head.service.clone(),
+            is_settled: false,
+        }
+    }
+}
+
+impl Drop for RouteGuard<'_> {
+    fn drop(&mut self) {
+        if self.is_settled {
+            return;
+        }
+        if let Some(table) = self.state.routes().table(&self.service) {
+            table.release(&self.link.agent);
+        }
+    }
+}
+
+/// Returns whether one more attempt is safe and within the budget.
+fn may_retry(
+    state: &EntryState,
+    plan: &AttemptPlan,
+    last: &ServeResult,
+    body: &RequestBody,
+) -> bool {
+    last.outcome.may_retry(plan.head.is_idempotent())
+        && body.can_repeat()
+        && Instant::now() < plan.deadline
+        && (last.never_arrived || state.routes().budget(&plan.head.caller).spend())
+}
+
+fn note_attempt(state: &EntryState, link: &AgentLink, plan: &AttemptPlan, result: &AttemptResult) {
+    let now = state.clock.now();
+    {
+        let mut routes = state.routes();
+        if let Some(table) = routes.table(&plan.head.service) {
+            if let Some(micros) = result.service_micros {
+                table.finish(&link.agent, micros, now);
+            } else if result.is_failure {
+                table.fail(&link.agent, now);
+            } else {
+                table.release(&link.agent);
+            }
+            if let Some(load) = result.load {
+                table.report_load(&link.agent, load);
+            }
+        }
+    }
+    let (kind, text) = match &result.outcome {
+        RequestOutcome::Answered(_) => {
+            state.metrics.count("request.answered");
+            return;
+        }
+        RequestOutcome::NotRun(proof) => ("not-run", proof.to_string()),
+        RequestOutcome::Unknown => ("unknown", "no whole answer".to_owned()),
+    };
+    state.metrics.count(&format!("request.{kind}"));
+    state.timeline.add(
+        TimelineEvent::new(kind, text)
+            .with_request(plan.request)
+            .with_agent(&link.agent),
+    );
+}
+
+pub(super) fn new_request_id() -> RequestId {
+    RequestId::from(Uuid::now_v7())
+}
--- /dev/null
+++ b/crates/turmeric-learning/src/harm.rs
@@ -0,0 +1,136 @@
+//! How much tasks of a kind slow a service on the same VM.
+
+use std::fmt;
+use std::str::FromStr;
+
+use turmeric_types::{CoreCount, ServiceName};
+
+/// Samples after which an older one counts less with each new one.
+const HARM_WINDOW: u32 = 64;
+
+/// Samples that the assumption made without any counts for.
+const PRIOR_WEIGHT: i64 = 2;
+
+/// Slowdown of a service by one task, in thousandths, times the VM's cores.
+///
+/// A task with a rate of 8000 makes each request take half as long again on a
+/// VM of 16 cores, and an eighth on one of 64.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HarmRate(i64);
+
+impl HarmRate {
+    /// Creates a rate from thousandths times cores.
+    pub const fn new(permille_cores: i64) -> Self {
+        Self(permille_cores)
+    }
+
+    /// Returns the rate in thousandths times cores.
+    pub const fn get(self) -> i64 {
+        self.0
+    }
+
+    /// Returns the rate that is assumed before any sample: a task that takes
+    /// a whole VM doubles the time of its requests.
+    pub const fn assumed(cores: CoreCount) -> Self {
+        Self(cores.as_millicores() as i64)
+    }
+
+    /// Adds two rates.
+    pub const fn plus(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+
+    /// Returns the slowdown on a VM, in thousandths; never below zero.
+    pub fn slowdown_permille(self, capacity: CoreCount) -> u64 {
+        let harm = self.0.max(0) as u64;
+        harm * 1000 / capacity.as_millicores().max(1)
+    }
+}
+
+impl fmt::Display for HarmRate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+impl FromStr for HarmRate {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        text.parse()
+            .map(Self)
+            .map_err(|_| format!("{text:?} is not a whole number of thousandths times cores"))
+    }
+}
+
+/// How busy a service was on the VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LoadLevel {
+    /// Less than half of its slots were taken.
+    Light,
+    /// Half of its slots or more were taken.
+    Heavy,
+}
+
+impl LoadLevel {
+    /// Returns the level with `outstanding` requests for `slots` slots.
+    pub fn new(outstanding: u32, slots: u32) -> Self {
+        if outstanding * 2 < slots {
+            Self::Light
+        } else {
+            Self::Heavy
+        }
+    }
+
+    /// Returns the other level.
+    pub fn other(self) -> Self {
+        match self {
+            Self::Light => Self::Heavy,
+            Self::Heavy => Self::Light,
+        }
+    }
+}
+
+/// The service that was slowed, and how busy it was.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HarmPair {
+    /// The service.
+    pub service: ServiceName,
+    /// How busy it was on the VM.
+    pub level: LoadLevel,
+}
+
+/// What one agent measured while a task of the kind ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HarmSample {
+    /// The service that was measured.
+    pub pair: HarmPair,
+    /// The slowdown; below zero when requests became faster by chance.
+    pub rate: HarmRate,
+}
+
+/// The mean of what agents measured.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HarmEstimate {
+    /// Mean of the samples.
+    pub mean: HarmRate,
+    /// Number of samples.
+    pub count: u32,
+}
+
+impl HarmEstimate {
+    /// Adds a sample.
+    pub fn push(&mut self, rate: HarmRate) {
+        self.count = self.count.saturating_add(1);
+        let weight = i64::from(self.count.min(HARM_WINDOW));
+        let step = (rate.0 - self.mean.0) / weight;
+        self.mean = HarmRate(self.mean.0 + step);
+    }
+
+    /// Returns the rate to reckon with, between the samples and `assumed`.
+    pub fn rate(&self, assumed: HarmRate) -> HarmRate {
+        let weight = i64::from(self.count.min(HARM_WINDOW));
+        let sum = self.mean.0 * weight + assumed.0 * PRIOR_WEIGHT;
+        HarmRate(sum / (weight + PRIOR_WEIGHT))
+    }
+}
--- /dev/null
+++ b/crates/turmeric-load/src/mixed/jobs.rs
@@ -0,0 +1,103 @@
+//! Batch jobs beside the requests.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use eyre::Result;
+use serde::Deserialize;
+use turmeric_types::SplitRandom;
+use uuid::Uuid;
+
+use super::MixedPlan;
+use turmeric_testbed::LoadClient;
+
+/// Longest wait for the jobs after the last request.
+const FINISH_LIMIT: Duration = Duration::from_secs(40);
+
+/// Tasks of one job.
+const JOB_TASKS: u64 = 3;
+
+/// What became of all jobs.
+#[derive(Default)]
+pub(crate) struct JobTotals {
+    pub(crate) submitted: u64,
+    pub(crate) refused: u64,
+    pub(crate) succeeded: u64,
+    pub(crate) unfinished: u64,
+    pub(crate) evictions: u64,
+}
+
+#[derive(Default, Deserialize)]
+struct TaskCounts {
+    waiting: u64,
+    assigned: u64,
+    succeeded: u64,
+    evictions: u64,
+}
+
+/// Submits the plan's jobs over its time and waits for their end.
+pub(crate) async fn drive(client: &LoadClient, plan: &MixedPlan) -> Result<JobTotals> {
+    let mut totals = JobTotals::default();
+    let mut random = SplitRandom::new(plan.seed ^ 0x006a_6f62);
+    let pause = plan.duration / (plan.jobs.max(1) as u32 + 1);
+    for number in 0..plan.jobs {
+        tokio::time::sleep(pause).await;
+        let entry = plan.entries[random.next_below(plan.entries.len())];
+        if submit(client, entry, number, &mut random).await {
+            totals.submitted += JOB_TASKS;
+        } else {
+            totals.refused += JOB_TASKS;
+        }
+    }
+    let limit = Instant::now() + FINISH_LIMIT;
+    loop {
+        let counts = count(client, &plan.entries).await?;
+        totals.succeeded = counts.succeeded;
+        totals.unfinished = counts.waiting + counts.assigned;
+        totals.evictions = counts.evictions;
+        if totals.unfinished == 0 || Instant::now() > limit {
+            return Ok(totals);
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+async fn submit(
+    client: &LoadClient,
+    entry: SocketAddr,
+    number: u64,
+    random: &mut SplitRandom,
+) -> bool {
+    let is_urgent = number % 10 == 9;
+    let form = serde_json::json!({
+        "job": Uuid::now_v7().to_string(),
+        "team": format!("team-{}", number % 7),
+        "class": if is_urgent { "urgent" } else { "batch" },
+        "cores": (4 + random.next_below(12)).to_string(),
+        "memory": "8 GiB",
+        "accelerators": 0,
+        "work_millis": 500 + random.next_below(2500),
+        "count": JOB_TASKS,
+    });
+    // The job keeps its identifier, so that asking again is safe.
+    for _ in 0..5 {
+        match client.post_json(entry, "/v1/jobs", &form).await {
+            Ok(answer) if answer.status.is_success() => return true,
+            Ok(answer) if answer.status.is_client_error() => return false,
+            Ok(_) | Err(_) => tokio::time::sleep(Duration::from_millis(500)).await,
+        }
+    }
+    false
+}
+
+async fn count(client: &LoadClient, entries: &[SocketAddr]) -> Result<TaskCounts> {
+    let mut total = TaskCounts::default();
+    for entry in entries {
+        let counts: TaskCounts = client.get_json(*entry, "/v1/tasks/count").await?;
+        total.waiting += counts.waiting;
+        total.assigned += counts.assigned;
+        total.succeeded += counts.succeeded;
+        total.evictions += counts.evictions;
+    }
+    Ok(total)
+}
--- /dev/null
+++ b/crates/turmeric-schema/tests/garbage.rs
@@ -0,0 +1,43 @@
+//! Messages of other versions and garbage at the border.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+use proptest::prelude::*;
+use turmeric_schema::{Message, v1};
+
+proptest! {
+    #[test]
+    fn garbage_is_refused_without_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let _ = v1::PollRequest::decode(bytes.as_slice());
+        let _ = v1::PollReply::decode(bytes.as_slice());
+        let _ = v1::LogAppend::decode(bytes.as_slice());
+        let _ = v1::PartitionSnapshot::decode(bytes.as_slice());
+    }
+
+    #[test]
+    fn a_truncated_poll_is_refused_or_read_in_part(cut in 0..60_usize) {
+        let poll = v1::PollRequest {
+            agent: "w1.00000001".to_owned(),
+            incarnation: 1_796_338_007_977,
+            settings_version: 9,
+            ..v1::PollRequest::default()
+        };
+        let mut bytes = poll.encode_to_vec();
+        bytes.truncate(cut);
+        if let Ok(read) = v1::PollRequest::decode(bytes.as_slice()) {
+            prop_assert!(read.incarnation == 0 || read.incarnation == poll.incarnation);
+        }
+    }
+}
+
+#[test]
+fn a_field_of_a_newer_version_is_passed_over() {
+    let poll = v1::PollRequest {
+        agent: "w1".to_owned(),
+        ..v1::PollRequest::default()
+    };
+    let mut bytes = poll.encode_to_vec();
+    // Field 2000 with three bytes, which no version here knows.
+    bytes.extend([0x82, 0x7d, 3, 1, 2, 3]);
+    assert_eq!(v1::PollRequest::decode(bytes.as_slice()).unwrap(), poll);
+}
--- /dev/null
+++ b/crates/turmeric-store/src/lib.rs
@@ -0,0 +1,13 @@
+//! Client of the platform's table service and object store.
+//!
+//! A [`PlatformClient`] speaks the published HTTP form of both services. It
+//! never retries: callers know which operations are idempotent.
+
+mod client;
+mod encoding;
+mod error;
+mod row;
+
+pub use client::{PlatformClient, REQUEST_TIMEOUT};
+pub use error::StoreError;
+pub use row::{RowChange, RowCondition, RowTag, TableRow};
--- /dev/null
+++ b/crates/turmeric-tasks/src/book.rs
@@ -0,0 +1,377 @@
+//! The state of all tasks of one partition.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use turmeric_learning::LearnedTable;
+use turmeric_schema::{Message, v1};
+use turmeric_types::{AgentId, AttemptNumber, JobId, ResourceSet, TaskId, TaskSpec, WallTime};
+
+use crate::convert::{read_resources, read_task, write_resources, write_task};
+use crate::learned::{read_learned, write_learned};
+use crate::transition::{read_name, read_submitted, write_submitted};
+use crate::{BorderError, ReturnReason, TaskChange, TaskTransition};
+
+/// Time for which an ended task is remembered.
+const ENDED_TERM: Duration = Duration::from_secs(180);
+
+/// A task that failed this often is not tried again.
+const FAILURE_LIMIT: u32 = 3;
+
+/// Where a task stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TaskPhase {
+    /// It waits for a worker.
+    Waiting,
+    /// One agent may run it.
+    Assigned(AgentId),
+    /// It ended with success.
+    Succeeded,
+    /// It ended with an error.
+    Failed,
+    /// The team cancelled it.
+    Cancelled,
+}
+
+impl TaskPhase {
+    /// Returns whether the task can never run again.
+    pub fn is_over(&self) -> bool {
+        matches!(self, Self::Succeeded | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// Everything kept about one task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskRecord {
+    /// What the team declared.
+    pub spec: TaskSpec,
+    /// What the last attempt was given; what was declared before the first.
+    pub given: ResourceSet,
+    /// When it was submitted.
+    pub submitted_at: WallTime,
+    /// Where it stands.
+    pub phase: TaskPhase,
+    /// The last attempt; zero before the first.
+    pub attempt: AttemptNumber,
+    /// Work done up to the stored checkpoint, in milliseconds.
+    pub checkpoint_millis: u64,
+    /// How often it was evicted.
+    pub evictions: u32,
+    /// How often an attempt failed.
+    pub failures: u32,
+    /// When it ended; zero before.
+    pub ended_at: WallTime,
+}
+
+/// Why a transition does not fit the state of its task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BookError {
+    task: TaskId,
+    message: String,
+}
+
+impl fmt::Display for BookError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "task {}: {}", self.task, self.message)
+    }
+}
+
+impl std::error::Error for BookError {}
+
+/// The tasks of one partition, as its log says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TaskBook {
+    tasks: BTreeMap<TaskId, TaskRecord>,
+    learned: LearnedTable,
+}
+
+impl TaskBook {
+    /// Creates a book without tasks.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns one task.
+    pub fn get(&self, task: TaskId) -> Option<&TaskRecord> {
+        self.tasks.get(&task)
+    }
+
+    /// Returns all tasks in order.
+    pub fn iter(&self) -> impl Iterator<Item = (TaskId, &TaskRecord)> {
+        self.tasks.iter().map(|(task, record)| (*task, record))
+    }
+
+    /// Returns the tasks of one job in order.
+    pub fn job_tasks(&self, job: JobId) -> impl Iterator<Item = (TaskId, &TaskRecord)> {
+        self.tasks
+            .range(TaskId::new(job, 0)..=TaskId::new(job, u32::MAX))
+            .map(|(task, record)| (*task, record))
+    }
+
+    /// Returns what was learned of the kinds of the partition's teams.
+    pub fn learned(&self) -> &LearnedTable {
+        &self.learned
+    }
+
+    /// Returns the number of tasks.
+    pub fn len(&self) -> usize {
+        self.tasks.len()
+    }
+
+    /// Returns whether there are no tasks.
+    pub fn is_empty(&self) -> bool {
+        self.tasks.is_empty()
+    }
+
+    /// Applies a transition that the log has accepted.
+    ///
+    /// # Errors
+    ///
+    /// Refused when the task is not in the state from which the transition
+    /// leads; the book is unchanged then.
+    pub fn apply(&mut self, transition: &TaskTransition) -> Result<(), BookError> {
+        let task = transition.task;
+        let failure = |message: String| BookError { task, message };
+        if let TaskChange::Submitted { spec, submitted_at } = &transition.change {
+            if self.tasks.contains_key(&task) {
+                return Err(failure("submitted twice".to_owned()));
+            }
+            self.tasks
+                .insert(task, TaskRecord::new(spec, *submitted_at));
+            return Ok(());
+        }
+        let record = self
+            .tasks
+            .get_mut(&task)
+            .ok_or_else(|| failure("not submitted".to_owned()))?;
+        record.apply(&transition.change).map_err(failure)?;
+        learn(&mut self.learned, record, &transition.change);
+        Ok(())
+    }
+
+    /// Forgets tasks that ended long before `now`.
+    pub fn forget_ended(&mut self, now: WallTime) {
+        self.tasks
+            .retain(|_, record| !record.phase.is_over() || record.ended_at.after(ENDED_TERM) > now);
+    }
+
+    /// Writes the book as a snapshot that follows the append at `index`.
+    pub fn to_snapshot(&self, index: u64) -> Vec<u8> {
+        let tasks = self
+            .tasks
+            .iter()
+            .map(|(task, record)| record.to_state(*task))
+            .collect();
+        let snapshot = v1::PartitionSnapshot {
+            index,
+            tasks,
+            workloads: write_learned(&self.learned),
+        };
+        snapshot.encode_to_vec()
+    }
+
+    /// Reads a book from a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// See [`BorderError`].
+    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, BorderError> {
+        let snapshot =
+            v1::PartitionSnapshot::decode(bytes).map_err(|error| BorderError::Undecodable {
+                message: error.to_string(),
+            })?;
+        let tasks = snapshot.tasks.iter().map(TaskRecord::from_state);
+        Ok(Self {
+            tasks: tasks.collect::<Result<_, _>>()?,
+            learned: read_learned(&snapshot.workloads)?,
+        })
+    }
+}
+
+/// Takes what was seen of an attempt into what is known of its kind.
+///
+/// Use counts when the task ended well, since what it uses up to an eviction
+/// or an error is less than it wants; an error for want of memory counts too.
+fn learn(learned: &mut LearnedTable, record: &TaskRecord, change: &TaskChange) {
+    let (observed, succeeded) = match change {
+        TaskChange::Returned { observed, .. } => (observed, false),
+        TaskChange::Ended {
+            observed,
+            succeeded,
+            ..
+        } => (observed, *succeeded),
+        _ => return,
+    };
+    if let Some(usage) = observed.usage
+        && (succeeded || usage.memory >= record.given.memory)
+    {
+        learned.note_usage(&record.spec, &record.given, usage);
+    }
+    if let Some(sample) = &observed.harm {
+        learned.note_harm(&record.spec, sample);
+    }
+}
+
+impl TaskRecord {
+    fn new(spec: &TaskSpec, submitted_at: WallTime) -> Self {
+        Self {
+            spec: spec.clone(),
+            given: spec.resources,
+            submitted_at,
+            phase: TaskPhase::Waiting,
+            attempt: AttemptNumber::default(),
+            checkpoint_millis: 0,
+            evictions: 0,
+            failures: 0,
+            ended_at: WallTime::default(),
+        }
+    }
+
+    /// Returns whether the task is assigned to `agent` in `attempt`.
+    pub fn is_assigned(&self, agent: &AgentId, attempt: AttemptNumber) -> bool {
+        self.attempt == attempt && self.phase == TaskPhase::Assigned(agent.clone())
+    }
+
+    fn apply(&mut self, change: &TaskChange) -> Result<(), String> {
+        match change {
+            TaskChange::Submitted { .. } => Err("submitted twice".to_owned()),
+            TaskChange::Assigned {
+                attempt,
+                agent,
+                given,
+            } => self.assign(*attempt, agent, given),
+            TaskChange::Returned {
+                attempt,
+                checkpoint_millis,
+                reason,
+                observed: _,
+            } => {
+                self.check_attempt(*attempt)?;
+                self.phase = TaskPhase::Waiting;
+                self.checkpoint_millis = self.checkpoint_millis.max(*checkpoint_millis);
+                self.evictions += u32::from(*reason == ReturnReason::Evicted);
+                self.failures += u32::from(*reason == ReturnReason::Failed);
+                Ok(())
+            }
+            TaskChange::Ended {
+                attempt,
+                succeeded,
+                ended_at,
+                observed: _,
+            } => {
+                self.check_attempt(*attempt)?;
+                self.phase = if *succeeded {
+                    TaskPhase::Succeeded
+                } else {
+                    TaskPhase::Failed
+                };
+                self.ended_at = *ended_at;
+                Ok(())
+            }
+            TaskChange::Cancelled { cancelled_at } => {
+                if self.phase.is_over() {
+                    return Err("cancelled after its end".to_owned());
+                }
+                self.phase = TaskPhase::Cancelled;
+                self.ended_at = *cancelled_at;
+                Ok(())
+            }
+        }
+    }
+
+    fn assign(
+        &mut self,
+        attempt: AttemptNumber,
+        agent: &AgentId,
+        given: &ResourceSet,
+    ) -> Result<(), String> {
+        if self.phase != TaskPhase::Waiting {
+            return Err(format!("assigned while {:?}", self.phase));
+        }
+        if attempt != self.attempt.next() {
+            return Err(format!("attempt {attempt} after {}", self.attempt));
+        }
+        self.attempt = attempt;
+        // A log of an earlier version does not say what was given.
+        let is_given = *given != ResourceSet::default();
+        self.given = if is_given {
+            *given
+        } else {
+            self.spec.resources
+        };
+        self.phase = TaskPhase::Assigned(agent.clone());
+        Ok(())
+    }
+
+    fn check_attempt(&self, attempt: AttemptNumber) -> Result<(), String> {
+        match self.phase {
+            TaskPhase::Assigned(_) if self.attempt == attempt => Ok(()),
+            _ => Err(format!(
+                "attempt {attempt} is over; the task is {:?} in attempt {}",
+                self.phase, self.attempt
+            )),
+        }
+    }
+
+    /// Returns whether one more failure ends the task for good.
+    pub fn is_last_try(&self) -> bool {
+        self.failures + 1 >= FAILURE_LIMIT
+    }
+
+    fn to_state(&self, task: TaskId) -> v1::TaskState {
+        let (phase, agent) = match &self.phase {
+            TaskPhase::Waiting => (v1::TaskPhase::Waiting, String::new()),
+            TaskPhase::Assigned(agent) => (v1::TaskPhase::Assigned, agent.to_string()),
+            TaskPhase::Succeeded => (v1::TaskPhase::Succeeded, String::new()),
+            TaskPhase::Failed => (v1::TaskPhase::Failed, String::new()),
+            TaskPhase::Cancelled => (v1::TaskPhase::Cancelled, String::new()),
+        };
+        v1::TaskState {
+            task: Some(write_task(task)),
+            submitted: Some(write_submitted(&self.spec, self.submitted_at)),
+            attempt: self.attempt.get(),
+            checkpoint_millis: self.checkpoint_millis,
+            phase: phase.into(),
+            agent,
+            evictions: self.evictions,
+            failures: self.failures,
+            ended_at: self.ended_at.as_millis(),
+            given: Some(write_resources(&self.given)),
+        }
+    }
+
+    fn from_state(state: &v1::TaskState) -> Result<(TaskId, Self), BorderError> {
+        let submitted = state
+            .submitted
+            .as_ref()
+            .ok_or(BorderError::Missing { field: "submitted" })?;
+        let (spec, submitted_at) = read_submitted(submitted)?;
+        let phase = match v1::TaskPhase::try_from(state.phase) {
+            Ok(v1::TaskPhase::Waiting) => TaskPhase::Waiting,
+            Ok(v1::TaskPhase::Assigned) => TaskPhase::Assigned(read_name("agent", &state.agent)?),
+            Ok(v1::TaskPhase::Succeeded) => TaskPhase::Succeeded,
+            Ok(v1::TaskPhase::Failed) => TaskPhase::Failed,
+            Ok(v1::TaskPhase::Cancelled) => TaskPhase::Cancelled,
+            Err(error) => {
+                return Err(BorderError::Invalid {
+                    field: "phase",
+                    message: error.to_string(),
+                });
+            }
+        };
+        let given = state.given.as_ref();
+        let record = Self {
+            given: given.map_or(spec.resources, |given| read_resources(Some(given))),
+            spec,
+            submitted_at,
+            phase,
+            attempt: AttemptNumber::new(state.attempt),
+            checkpoint_millis: state.checkpoint_millis,
+            evictions: state.evictions,
+            failures: state.failures,
+            ended_at: WallTime::from_millis(state.ended_at),
+        };
+        Ok((read_task(state.task.as_ref())?, record))
+    }
+}
--- /dev/null
+++ b/crates/turmeric-tasks/src/convert.rs
@@ -0,0 +1,72 @@
+//! Conversions between generated types and the crate's own.
+
+use turmeric_schema::v1;
+use turmeric_types::{
+    AcceleratorCount, CoreCount, JobId, MemorySize, PartitionId, ResourceSet, TaskClass, TaskId,
+};
+
+use crate::BorderError;
+
+pub(crate) fn read_task(task: Option<&v1::TaskRef>) -> Result<TaskId, BorderError> {
+    let task = task.ok_or(BorderError::Missing { field: "task" })?;
+    let job = JobId::from_slice(&task.job).ok_or(BorderError::Invalid {
+        field: "task.job",
+        message: format!("{} bytes instead of 16", task.job.len()),
+    })?;
+    Ok(TaskId::new(job, task.index))
+}
+
+pub(crate) fn write_task(task: TaskId) -> v1::TaskRef {
+    v1::TaskRef {
+        job: task.job.as_bytes().to_vec(),
+        index: task.index,
+    }
+}
+
+pub(crate) fn read_partition(number: u32) -> Result<PartitionId, BorderError> {
+    u16::try_from(number)
+        .ok()
+        .and_then(PartitionId::new)
+        .ok_or(BorderError::Invalid {
+            field: "partition",
+            message: format!("there is no partition {number}"),
+        })
+}
+
+/// Reads resources; a missing message stands for none.
+pub fn read_resources(resources: Option<&v1::Resources>) -> ResourceSet {
+    resources.map_or_else(ResourceSet::default, |resources| {
+        ResourceSet::new(
+            CoreCount::from_millicores(resources.millicores),
+            MemorySize::new(resources.memory_bytes),
+            AcceleratorCount::new(resources.accelerators),
+        )
+    })
+}
+
+/// Writes resources for a message.
+pub fn write_resources(resources: &ResourceSet) -> v1::Resources {
+    v1::Resources {
+        millicores: resources.cores.as_millicores(),
+        memory_bytes: resources.memory.as_bytes(),
+        accelerators: resources.accelerators.get(),
+    }
+}
+
+pub(crate) fn read_class(class: i32) -> TaskClass {
+    match v1::TaskClass::try_from(class) {
+        Ok(v1::TaskClass::Urgent) => TaskClass::Urgent,
+        Ok(v1::TaskClass::LatencyCritical) => TaskClass::LatencyCritical,
+        // A class of a newer version is treated with the least rights.
+        Ok(v1::TaskClass::Batch) | Err(_) => TaskClass::Batch,
+    }
+}
+
+pub(crate) fn write_class(class: TaskClass) -> i32 {
+    let class = match class {
+        TaskClass::Batch => v1::TaskClass::Batch,
+        TaskClass::Urgent => v1::TaskClass::Urgent,
+        TaskClass::LatencyCritical => v1::TaskClass::LatencyCritical,
+    };
+    class.into()
+}
--- /dev/null
+++ b/crates/turmeric-tasks/src/learned.rs
@@ -0,0 +1,74 @@
+//! What was learned, as the snapshot of a partition keeps it.
+
+use turmeric_learning::{HarmEstimate, LearnedTable, LearnedWorkload, UsageHistory, WorkloadKey};
+use turmeric_schema::v1;
+
+use crate::BorderError;
+use crate::reading::{read_harm, read_usage, write_harm, write_usage};
+use crate::transition::read_name;
+
+/// Writes what was learned.
+pub(crate) fn write_learned(table: &LearnedTable) -> Vec<v1::LearnedWorkload> {
+    table
+        .iter()
+        .map(|(key, workload)| v1::LearnedWorkload {
+            team: key.team.to_string(),
+            kind: key.kind.to_string(),
+            peaks: workload.usage.iter().copied().map(write_usage).collect(),
+            harms: write_harms(workload),
+            changed_at: workload.changed_at,
+        })
+        .collect()
+}
+
+fn write_harms(workload: &LearnedWorkload) -> Vec<v1::LearnedHarm> {
+    workload
+        .harm
+        .iter()
+        .map(|(pair, estimate)| v1::LearnedHarm {
+            mean: Some(write_harm(pair, estimate.mean)),
+            count: estimate.count,
+        })
+        .collect()
+}
+
+/// Reads what was learned.
+///
+/// # Errors
+///
+/// See [`BorderError`].
+pub(crate) fn read_learned(records: &[v1::LearnedWorkload]) -> Result<LearnedTable, BorderError> {
+    let mut table = LearnedTable::new();
+    for record in records {
+        let key = WorkloadKey {
+            team: read_name("team", &record.team)?,
+            kind: read_name("kind", &record.kind)?,
+        };
+        table.insert(key, read_workload(record)?);
+    }
+    Ok(table)
+}
+
+fn read_workload(record: &v1::LearnedWorkload) -> Result<LearnedWorkload, BorderError> {
+    let mut workload = LearnedWorkload {
+        usage: UsageHistory::new(),
+        changed_at: record.changed_at,
+        ..LearnedWorkload::default()
+    };
+    for peak in &record.peaks {
+        workload.usage.push(read_usage(peak));
+    }
+    for harm in &record.harms {
+        let mean = harm
+            .mean
+            .as_ref()
+            .ok_or(BorderError::Missing { field: "mean" })?;
+        let sample = read_harm(mean)?;
+        let estimate = HarmEstimate {
+            mean: sample.rate,
+            count: harm.count,
+        };
+        workload.harm.insert(sample.pair, estimate);
+    }
+    Ok(workload)
+}
--- /dev/null
+++ b/crates/turmeric-tasks/src/reading.rs
@@ -0,0 +1,77 @@
+//! What an agent saw of one attempt of a task.
+
+use turmeric_learning::{HarmPair, HarmRate, HarmSample, LoadLevel, UsageSample};
+use turmeric_schema::v1;
+use turmeric_types::{CoreCount, MemorySize};
+
+use crate::BorderError;
+use crate::transition::read_name;
+
+/// What an agent saw of one attempt of a task.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AttemptReading {
+    /// The most that it used, if any use was seen.
+    pub usage: Option<UsageSample>,
+    /// What its kind does to the service beside it, if that was measured.
+    pub harm: Option<HarmSample>,
+}
+
+impl AttemptReading {
+    /// Reads what was seen from a message.
+    pub(crate) fn read(
+        usage: Option<&v1::TaskUsage>,
+        harm: Option<&v1::ServiceHarm>,
+    ) -> Result<Self, BorderError> {
+        Ok(Self {
+            usage: usage.map(read_usage),
+            harm: harm.map(read_harm).transpose()?,
+        })
+    }
+
+    pub(crate) fn write_usage(&self) -> Option<v1::TaskUsage> {
+        self.usage.map(write_usage)
+    }
+
+    pub(crate) fn write_harm(&self) -> Option<v1::ServiceHarm> {
+        self.harm
+            .as_ref()
+            .map(|sample| write_harm(&sample.pair, sample.rate))
+    }
+}
+
+pub(crate) fn read_usage(usage: &v1::TaskUsage) -> UsageSample {
+    UsageSample::new(
+        CoreCount::from_millicores(usage.millicores),
+        MemorySize::new(usage.memory_bytes),
+    )
+}
+
+pub(crate) fn write_usage(usage: UsageSample) -> v1::TaskUsage {
+    v1::TaskUsage {
+        millicores: usage.cores.as_millicores(),
+        memory_bytes: usage.memory.as_bytes(),
+    }
+}
+
+pub(crate) fn read_harm(harm: &v1::ServiceHarm) -> Result<HarmSample, BorderError> {
+    let level = if harm.heavy {
+        LoadLevel::Heavy
+    } else {
+        LoadLevel::Light
+    };
+    Ok(HarmSample {
+        pair: HarmPair {
+            service: read_name("service", &harm.service)?,
+            level,
+        },
+        rate: HarmRate::new(harm.permille_cores),
+    })
+}
+
+pub(crate) fn write_harm(pair: &HarmPair, rate: HarmRate) -> v1::ServiceHarm {
+    v1::ServiceHarm {
+        service: pair.service.to_string(),
+        heavy: pair.level == LoadLevel::Heavy,
+        permille_cores: rate.get(),
+    }
+}
--- /dev/null
+++ b/crates/turmeric-tasks/src/scheduler/reply.rs
@@ -0,0 +1,168 @@
+//! Replies to polls: orders, acknowledgements, permits and leases.
+
+use std::time::Duration;
+
+use turmeric_schema::v1;
+use turmeric_types::{AgentId, MonoTime, SettingsVersion};
+
+use super::TaskScheduler;
+use super::session::AgentSession;
+
+/// Oldest confirmation with which a permit is still worth sending.
+const PERMIT_AGE_LIMIT: Duration = Duration::from_millis(1000);
+
+/// Most orders in one reply.
+const ORDER_LIMIT: usize = 256;
+
+/// Bytes of one poll and its reply, with their packet headers.
+const EXCHANGE_BYTES: u64 = 400;
+
+/// Bytes a second that polls and replies may take.
+const EXCHANGE_BUDGET: u64 = 6_000;
+
+/// Time for which a poll is held that has nothing but acknowledgements to be
+/// told: they are piggybacked on the next order if one comes.
+const ACKNOWLEDGEMENT_HOLD: Duration = Duration::from_secs(20);
+
+/// Acknowledgements that are worth a reply of their own.
+const ACKNOWLEDGEMENT_LIMIT: usize = 16;
+
+/// Shortest hold of a poll.
+const HOLD_FLOOR: Duration = Duration::from_secs(1);
+
+impl TaskScheduler {
+    /// Returns how long a poll is held when there is nothing to say.
+    ///
+    /// The hold grows with the number of agents, so that the control traffic
+    /// stays within its budget, but ends well before leases do.
+    pub fn hold(&self) -> Duration {
+        let millis = self.sessions.len() as u64 * EXCHANGE_BYTES * 1000 / EXCHANGE_BUDGET;
+        let ceiling = (self.terms.run / 3).max(HOLD_FLOOR);
+        Duration::from_millis(millis).clamp(HOLD_FLOOR, ceiling)
+    }
+
+    /// Offers newer settings to an agent with its next reply.
+    pub fn offer_settings(&mut self, agent: &AgentId, update: v1::SettingsUpdate) {
+        if let Some(session) = self.sessions.get_mut(agent) {
+            session.settings_update = Some(update);
+            self.dirty.insert(agent.clone());
+        }
+    }
+
+    /// Returns when the agent's poll is answered at the latest.
+    pub fn reply_due(&self, agent: &AgentId) -> Option<MonoTime> {
+        let session = self.sessions.get(agent)?;
+        Some(session.poll?.held_since.after(self.hold_of(session)))
+    }
+
+    fn hold_of(&self, session: &AgentSession) -> Duration {
+        if session.acknowledged_reports.is_empty() {
+            return self.hold();
+        }
+        self.hold().min(ACKNOWLEDGEMENT_HOLD)
+    }
+
+    /// Returns the reply to the agent's poll, if it is time to send it.
+    pub fn reply(&mut self, agent: &AgentId, now: MonoTime) -> Option<v1::PollReply> {
+        let hold = self.hold();
+        let session = self.sessions.get(agent)?;
+        let poll = session.poll?;
+        let is_due = now >= poll.held_since.after(self.hold_of(session));
+        if !is_due && !self.has_news(session, now) {
+            return None;
+        }
+        Some(self.build_reply(agent, hold, now))
+    }
+
+    fn has_news(&self, session: &AgentSession, now: MonoTime) -> bool {
+        let has_orders = session
+            .orders
+            .last_key_value()
+            .is_some_and(|(number, _)| *number > session.sent_order);
+        let has_permit = session.poll.is_some_and(|poll| poll.wants_permit)
+            && self.is_freshly_confirmed(now)
+            && session.is_reconciled;
+        let has_settings = session
+            .settings_update
+            .as_ref()
+            .is_some_and(|update| SettingsVersion::new(update.version) > session.settings_version);
+        has_orders
+            || has_permit
+            || has_settings
+            || session.acknowledged_reports.len() >= ACKNOWLEDGEMENT_LIMIT
+            || !session.is_reconciled
+    }
+
+    fn is_freshly_confirmed(&self, now: MonoTime) -> bool {
+        self.confirmation
+            .is_some_and(|confirmation| now.since(confirmation.began_at) <= PERMIT_AGE_LIMIT)
+    }
+
+    fn build_reply(&mut self, agent: &AgentId, hold: Duration, now: MonoTime) -> v1::PollReply {
+        let confirmation = self.build_confirmation(agent, now);
+        let owned = self
+            .owned_partitions()
+            .map(|(partition, epoch)| v1::OwnedPartition {
+                partition: u32::from(partition.get()),
+                epoch: epoch.get(),
+            })
+            .collect();
+        let mut reply = v1::PollReply {
+            owned,
+            entry_incarnation: self.incarnation.get(),
+            ownership_generation: self.generation,
+            confirmation,
+            hold_millis: hold.as_millis() as u32,
+            draining: self.is_draining,
+            ..v1::PollReply::default()
+        };
+        let Some(session) = self.sessions.get_mut(agent) else {
+            return reply;
+        };
+        session.poll = None;
+        reply.wants_announcement = !session.is_reconciled || session.announced.is_none();
+        reply.acknowledged_reports = session.acknowledged_reports.iter().copied().collect();
+        session.acknowledged_reports.clear();
+        reply.orders = session.orders.values().take(ORDER_LIMIT).cloned().collect();
+        if let Some(order) = reply.orders.last() {
+            session.sent_order = order.number;
+        }
+        reply.settings = session
+            .settings_update
+            .clone()
+            .filter(|update| SettingsVersion::new(update.version) > session.settings_version);
+        reply
+    }
+
+    /// Builds the proof on which the agent's permits and leases rest.
+    ///
+    /// An agent whose tasks were not compared with the books gets none.
+    fn build_confirmation(&mut self, agent: &AgentId, now: MonoTime) -> Option<v1::Confirmation> {
+        let confirmation = self.confirmation?;
+        let wait = self.terms.wait();
+        let session = self.sessions.get_mut(agent)?;
+        let poll = session.poll?;
+        if !session.is_reconciled || now.since(confirmation.began_at) > self.terms.run {
+            return None;
+        }
+        session.lease_until = session.lease_until.max(confirmation.began_at.after(wait));
+        let is_open = session.is_open;
+        let age = poll.received_at.since(confirmation.began_at);
+        let advance = confirmation.began_at.since(poll.received_at);
+        Some(v1::Confirmation {
+            age_millis: age.as_micros().div_ceil(1000) as u64,
+            settings_version: confirmation.version.get(),
+            zone_in_service: is_open,
+            advance_millis: advance.as_millis() as u64,
+        })
+    }
+
+    /// Returns the agents whose polls wait for a reply.
+    pub fn held_agents(&self) -> Vec<AgentId> {
+        self.sessions
+            .iter()
+            .filter(|(_, session)| session.poll.is_some())
+            .map(|(agent, _)| agent.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/turmeric-tasks/src/transition.rs
@@ -0,0 +1,246 @@
+//! Changes of tasks, as the partition log keeps them.
+
+use turmeric_schema::v1;
+use turmeric_types::{AgentId, AttemptNumber, JobKind, ResourceSet, TaskId, TaskSpec, WallTime};
+
+use crate::convert::{
+    read_class, read_resources, read_task, write_class, write_resources, write_task,
+};
+use crate::{AttemptReading, BorderError};
+
+/// Why a task waits again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReturnReason {
+    /// The agent refused the start; the attempt never ran.
+    Refused,
+    /// The task was checkpointed and stopped.
+    Evicted,
+    /// The agent lost the lease, or no longer holds the attempt.
+    LeaseLapsed,
+    /// The attempt ended with an error and is tried again.
+    Failed,
+}
+
+/// What happened to a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TaskChange {
+    /// A team submitted the task.
+    Submitted {
+        /// What the team declared.
+        spec: TaskSpec,
+        /// When it was submitted.
+        submitted_at: WallTime,
+    },
+    /// An agent may run the task in this attempt.
+    Assigned {
+        /// The attempt.
+        attempt: AttemptNumber,
+        /// The agent.
+        agent: AgentId,
+        /// What the attempt is given there.
+        given: ResourceSet,
+    },
+    /// The attempt is over and the task waits again.
+    Returned {
+        /// The attempt that is over.
+        attempt: AttemptNumber,
+        /// Work done up to the stored checkpoint, in milliseconds.
+        checkpoint_millis: u64,
+        /// Why.
+        reason: ReturnReason,
+        /// What was seen of the attempt.
+        observed: AttemptReading,
+    },
+    /// The task ended.
+    Ended {
+        /// The attempt that ended.
+        attempt: AttemptNumber,
+        /// Whether it succeeded.
+        succeeded: bool,
+        /// When the entry learned of the end.
+        ended_at: WallTime,
+        /// What was seen of the attempt.
+        observed: AttemptReading,
+    },
+    /// The team cancelled the task.
+    Cancelled {
+        /// When.
+        cancelled_at: WallTime,
+    },
+}
+
+/// A change of one task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskTransition {
+    /// The task.
+    pub task: TaskId,
+    /// What happened to it.
+    pub change: TaskChange,
+}
+
+pub(crate) fn write_submitted(spec: &TaskSpec, submitted_at: WallTime) -> v1::TaskSubmitted {
+    v1::TaskSubmitted {
+        team: spec.team.to_string(),
+        class: write_class(spec.class),
+        resources: Some(write_resources(&spec.resources)),
+        work_millis: spec.work_millis,
+        submitted_at: submitted_at.as_millis(),
+        kind: spec
+            .kind
+            .as_ref()
+            .map(JobKind::to_string)
+            .unwrap_or_default(),
+    }
+}
+
+pub(crate) fn read_submitted(
+    submitted: &v1::TaskSubmitted,
+) -> Result<(TaskSpec, WallTime), BorderError> {
+    let spec = TaskSpec {
+        team: read_name("team", &submitted.team)?,
+        class: read_class(submitted.class),
+        resources: read_resources(submitted.resources.as_ref()),
+        work_millis: submitted.work_millis,
+        kind: read_optional_name("kind", &submitted.kind)?,
+    };
+    Ok((spec, WallTime::from_millis(submitted.submitted_at)))
+}
+
+pub(crate) fn read_name<T: std::str::FromStr>(
+    field: &'static str,
+    text: &str,
+) -> Result<T, BorderError>
+where
+    T::Err: std::fmt::Display,
+{
+    text.parse().map_err(|error: T::Err| BorderError::Invalid {
+        field,
+        message: error.to_string(),
+    })
+}
+
+/// Reads a name that may be absent, which an empty text says.
+pub(crate) fn read_optional_name<T: std::str::FromStr>(
+    field: &'static str,
+    text: &str,
+) -> Result<Option<T>, BorderError>
+where
+    T::Err: std::fmt::Display,
+{
+    if text.is_empty() {
+        return Ok(None);
+    }
+    read_name(field, text).map(Some)
+}
+
+impl TaskTransition {
+    /// Creates a transition of `task`.
+    pub fn new(task: TaskId, change: TaskChange) -> Self {
+        Self { task, change }
+    }
+
+    /// Writes the transition as a record.
+    pub(crate) fn to_record(&self) -> v1::TaskTransition {
+        use v1::task_transition::Change;
+        let change = match &self.change {
+            TaskChange::Submitted { spec, submitted_at } => {
+                Change::Submitted(write_submitted(spec, *submitted_at))
+            }
+            TaskChange::Assigned {
+                attempt,
+                agent,
+                given,
+            } => Change::Assigned(v1::TaskAssigned {
+                attempt: attempt.get(),
+                agent: agent.to_string(),
+                given: Some(write_resources(given)),
+            }),
+            TaskChange::Returned {
+                attempt,
+                checkpoint_millis,
+                reason,
+                observed,
+            } => Change::Returned(v1::TaskReturned {
+                attempt: attempt.get(),
+                checkpoint_millis: *checkpoint_millis,
+                reason: write_reason(*reason),
+                usage: observed.write_usage(),
+                harm: observed.write_harm(),
+            }),
+            TaskChange::Ended {
+                attempt,
+                succeeded,
+                ended_at,
+                observed,
+            } => Change::Ended(v1::TaskEnded {
+                attempt: attempt.get(),
+                succeeded: *succeeded,
+                ended_at: ended_at.as_millis(),
+                usage: observed.write_usage(),
+                harm: observed.write_harm(),
+            }),
+            TaskChange::Cancelled { cancelled_at } => Change::Cancelled(v1::TaskCancelled {
+                cancelled_at: cancelled_at.as_millis(),
+            }),
+        };
+        v1::TaskTransition {
+            task: Some(write_task(self.task)),
+            change: Some(change),
+        }
+    }
+
+    /// Reads the transition from a record.
+    pub(crate) fn from_record(record: &v1::TaskTransition) -> Result<Self, BorderError> {
+        use v1::task_transition::Change;
+        let task = read_task(record.task.as_ref())?;
+        let change = match record.change.as_ref() {
+            Some(Change::Submitted(submitted)) => {
+                let (spec, submitted_at) = read_submitted(submitted)?;
+                TaskChange::Submitted { spec, submitted_at }
+            }
+            Some(Change::Assigned(assigned)) => TaskChange::Assigned {
+                attempt: AttemptNumber::new(assigned.attempt),
+                agent: read_name("agent", &assigned.agent)?,
+                given: read_resources(assigned.given.as_ref()),
+            },
+            Some(Change::Returned(returned)) => TaskChange::Returned {
+                attempt: AttemptNumber::new(returned.attempt),
+                checkpoint_millis: returned.checkpoint_millis,
+                reason: read_reason(returned.reason),
+                observed: AttemptReading::read(returned.usage.as_ref(), returned.harm.as_ref())?,
+            },
+            Some(Change::Ended(ended)) => TaskChange::Ended {
+                attempt: AttemptNumber::new(ended.attempt),
+                succeeded: ended.succeeded,
+                ended_at: WallTime::from_millis(ended.ended_at),
+                observed: AttemptReading::read(ended.usage.as_ref(), ended.harm.as_ref())?,
+            },
+            Some(Change::Cancelled(cancelled)) => TaskChange::Cancelled {
+                cancelled_at: WallTime::from_millis(cancelled.cancelled_at),
+            },
+            None => return Err(BorderError::Missing { field: "change" }),
+        };
+        Ok(Self { task, change })
+    }
+}
+
+fn write_reason(reason: ReturnReason) -> i32 {
+    let reason = match reason {
+        ReturnReason::Refused => v1::ReturnReason::Refused,
+        ReturnReason::Evicted => v1::ReturnReason::Evicted,
+        ReturnReason::LeaseLapsed => v1::ReturnReason::LeaseLapsed,
+        ReturnReason::Failed => v1::ReturnReason::Failed,
+    };
+    reason.into()
+}
+
+fn read_reason(reason: i32) -> ReturnReason {
+    match v1::ReturnReason::try_from(reason) {
+        Ok(v1::ReturnReason::Refused) => ReturnReason::Refused,
+        Ok(v1::ReturnReason::Evicted) => ReturnReason::Evicted,
+        Ok(v1::ReturnReason::Failed) => ReturnReason::Failed,
+        Ok(v1::ReturnReason::LeaseLapsed | v1::ReturnReason::Unspecified) | Err(_) => {
+            ReturnReason::LeaseLapsed
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmeric-tasks/tests/agent.rs
@@ -0,0 +1,457 @@
+//! What an agent does with orders, permits, leases and the worker's word.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+use std::time::Duration;
+
+use turmeric_schema::v1;
+use turmeric_schema::v1::task_order::Action;
+use turmeric_schema::v1::task_report::Event;
+use turmeric_tasks::{AgentAction, AgentTasks, LeaseTerms, write_resources};
+use turmeric_types::{
+    AcceleratorCount, AttemptNumber, CoreCount, Incarnation, JobId, MemorySize, MonoTime,
+    ResourceSet, TaskClass, TaskId,
+};
+use turmeric_worker::{StopAnswer, StopKind, TaskPhase, TaskUsage, WorkerStatus, WorkerTask};
+
+const LIFE: Incarnation = Incarnation::new(7);
+const PARTITION: u32 = 3;
+const TERMS: LeaseTerms = LeaseTerms::new(Duration::from_secs(15));
+
+fn millis(value: u64) -> MonoTime {
+    MonoTime::from_millis(value)
+}
+
+fn cores(count: u64) -> ResourceSet {
+    ResourceSet::new(
+        CoreCount::from_millicores(count * 1000),
+        MemorySize::new(1 << 30),
+        AcceleratorCount::new(0),
+    )
+}
+
+fn task() -> TaskId {
+    TaskId::new(JobId::new(1), 0)
+}
+
+fn status(clock: u64, tasks: Vec<WorkerTask>) -> WorkerStatus {
+    WorkerStatus {
+        instance: 1,
+        clock: millis(clock),
+        capacity: cores(8),
+        incarnation: LIFE,
+        tasks,
+        used_millicores: 0,
+    }
+}
+
+fn at_worker(phase: TaskPhase) -> WorkerTask {
+    WorkerTask {
+        task: task(),
+        attempt: AttemptNumber::new(1),
+        partition: PARTITION as u16,
+        class: TaskClass::Batch,
+        resources: cores(4),
+        phase,
+        lease_until: millis(20_000),
+        checkpoint_millis: 600,
+        done_millis: 700,
+        usage: None,
+    }
+}
+
+/// An agent with sessions to two entries, at 1 s of the worker's clock.
+fn agent() -> AgentTasks {
+    AgentTasks::new(LIFE, TERMS, &status(1000, Vec::new()), 2)
+}
+
+fn poll(agent: &mut AgentTasks, slot: usize) -> v1::PollRequest {
+    agent.begin_poll(slot, &v1::Announcement::default(), 0)
+}
+
+/// A reply of the owner of the partition with this epoch.
+fn reply(epoch: u64, orders: Vec<v1::TaskOrder>) -> v1::PollReply {
+    v1::PollReply {
+        entry_incarnation: 5,
+        orders,
+        owned: vec![v1::OwnedPartition {
+            partition: PARTITION,
+            epoch,
+        }],
+        ..v1::PollReply::default()
+    }
+}
+
+fn confirmed(mut reply: v1::PollReply, age_millis: u64, zone_in_service: bool) -> v1::PollReply {
+    reply.confirmation = Some(v1::Confirmation {
+        age_millis,
+        settings_version: 1,
+        zone_in_service,
+        advance_millis: 0,
+    });
+    reply
+}
+
+fn order(number: u64, epoch: u64, action: Action) -> v1::TaskOrder {
+    v1::TaskOrder {
+        number,
+        task: Some(v1::TaskRef {
+            job: JobId::new(1).as_bytes().to_vec(),
+            index: 0,
+        }),
+        attempt: 1,
+        partition: PARTITION,
+        epoch,
+        action: Some(action),
+    }
+}
+
+fn start_order(number: u64, epoch: u64) -> v1::TaskOrder {
+    let start = v1::StartTask {
+        resources: Some(write_resources(&cores(4))),
+        work_millis: 1000,
+        ..v1::StartTask::default()
+    };
+    order(number, epoch, Action::Start(start))
+}
+
+/// An agent whose worker holds the task.
+fn agent_with_task() -> AgentTasks {
+    let mut agent = agent();
+    poll(&mut agent, 0);
+    let reply = confirmed(reply(2, vec![start_order(1, 2)]), 0, true);
+    agent.take_reply(0, &reply).unwrap();
+    agent.start_done(task(), AttemptNumber::new(1), &Ok(()));
+    agent
+}
+
+fn events(poll: &v1::PollRequest) -> Vec<Event> {
+    poll.reports
+        .iter()
+        .filter_map(|report| report.event.clone())
+        .collect()
+}
+
+#[test]
+fn a_start_has_a_deadline_counted_from_before_the_poll() {
+    let mut agent = agent();
+    poll(&mut agent, 0);
+    // The worker's clock goes on while the poll is held.
+    let mark = agent.begin_status();
+    agent.take_status(mark, &status(1800, Vec::new()));
+    let reply = confirmed(reply(2, vec![start_order(1, 2)]), 300, true);
+    let actions = agent.take_reply(0, &reply).unwrap();
+    let [AgentAction::Start(start)] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(start.not_after, millis(1000 + 2500 - 300));
+    assert_eq!(start.lease_until, millis(1000 + 15_000 - 300));
+}
+
+#[test]
+fn a_start_needs_no_second_poll_when_the_table_was_read_while_the_poll_was_held() {
+    let mut agent = agent();
+    poll(&mut agent, 0);
+    let mark = agent.begin_status();
+    agent.take_status(mark, &status(22_000, Vec::new()));
+    // Held for 21 s; the worker's clock may have advanced by 20 s only.
+    let mut reply = confirmed(reply(2, vec![start_order(1, 2)]), 0, true);
+    reply.confirmation.as_mut().unwrap().advance_millis = 21_000;
+    let actions = agent.take_reply(0, &reply).unwrap();
+    let [AgentAction::Start(start)] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(start.not_after, millis(1000 + 20_000 + 2500));
+    assert_eq!(start.lease_until, millis(1000 + 20_000 + 15_000));
+}
+
+#[test]
+fn a_load_is_told_again_after_a_poll_that_was_given_up() {
+    let mut agent = agent();
+    for _ in 0..2 {
+        poll(&mut agent, 0);
+        agent.take_reply(0, &reply(2, Vec::new())).unwrap();
+    }
+    assert_eq!(poll(&mut agent, 0).load, None, "the entry knows it");
+    let mut busy = status(2000, Vec::new());
+    busy.used_millicores = 500;
+    let mark = agent.begin_status();
+    agent.take_status(mark, &busy);
+    assert!(poll(&mut agent, 0).load.is_some());
+    // That poll was given up, but the entry may have read it.
+    let mark = agent.begin_status();
+    agent.take_status(mark, &status(3000, Vec::new()));
+    assert!(poll(&mut agent, 0).load.is_some());
+}
+
+#[test]
+fn a_lease_is_renewed_from_before_the_poll() {
+    let mut agent = agent_with_task();
+    let mark = agent.begin_status();
+    agent.take_status(mark, &status(6000, vec![at_worker(TaskPhase::Running)]));
+    poll(&mut agent, 0);
+    let mark = agent.begin_status();
+    agent.take_status(mark, &status(9000, vec![at_worker(TaskPhase::Running)]));
+    let actions = agent
+        .take_reply(0, &confirmed(reply(2, Vec::new()), 100, true))
+        .unwrap();
+    let [AgentAction::Renew(renewals)] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(renewals[0].lease_until, millis(6000 + 15_000 - 100));
+}
+
+#[test]
+fn an_order_that_waits_too_long_for_a_permit_asks_for_one_anew() {
+    let mut agent = agent();
+    poll(&mut agent, 0);
+    let mark = agent.begin_status();
+    agent.take_status(mark, &status(4000, Vec::new()));
+    let reply = confirmed(reply(2, vec![start_order(1, 2)]), 0, true);
+    let actions = agent.take_reply(0, &reply).unwrap();
+    assert!(actions.is_empty(), "the permit had lapsed: {actions:?}");
+    assert!(poll(&mut agent, 0).wants_permit);
+}
+
+#[test]
+fn nothing_starts_in_a_place_out_of_service() {
+    let mut agent = agent();
+    poll(&mut agent, 0);
+    let reply = confirmed(reply(2, vec![start_order(1, 2)]), 0, false);
+    assert!(agent.take_reply(0, &reply).unwrap().is_empty());
+    assert!(matches!(
+        events(&poll(&mut agent, 0)).as_slice(),
+        [Event::Refused(_)]
+    ));
+    assert_eq!(agent.free(), cores(8));
+}
+
+#[test]
+fn orders_of_an_earlier_owner_are_passed_over_from_the_first_reply_on() {
+    let mut agent = agent();
+    poll(&mut agent, 0);
+    poll(&mut agent, 1);
+    // The new owner has confirmed nothing yet; its epoch counts all the same.
+    agent.take_reply(1, &reply(3, Vec::new())).unwrap();
+    let late = confirmed(reply(2, vec![start_order(1, 2)]), 0, true);
+    assert!(agent.take_reply(0, &late).unwrap().is_empty());
+    assert_eq!(agent.held_count(), 0);
+}
+
+#[test]
+fn a_task_that_ended_while_it_was_evicted_has_ended() {
+    let mut agent = agent_with_task();
+    poll(&mut agent, 0);
+    let evict = order(2, 2, Action::Evict(v1::EvictTask {}));
+    let actions = agent.take_reply(0, &reply(2, vec![evict])).unwrap();
+    assert!(matches!(
+        actions.as_slice(),
+        [AgentAction::Stop(stop)] if stop.kind == StopKind::Checkpoint
+    ));
+    let answer = StopAnswer {
+        phase: Some(TaskPhase::Succeeded),
+        checkpoint_millis: 0,
+    };
+    agent.stop_done(task(), AttemptNumber::new(1), &Ok(answer));
+    let mark = agent.begin_status();
+    agent.take_status(mark, &status(2000, vec![at_worker(TaskPhase::Succeeded)]));
+    let events = events(&poll(&mut agent, 0));
+    assert!(
+        matches!(
+            events.last(),
+            Some(Event::Ended(v1::Ended {
+                succeeded: true,
+                ..
+            }))
+        ),
+        "{events:?}"
+    );
+    let is_evicted = |event: &Event| matches!(event, Event::Evicted(_));
+    assert!(!events.iter().any(is_evicted), "{events:?}");
+}
+
+#[test]
+fn a_status_from_before_a_start_does_not_take_the_task_away() {
+    let mut agent = agent();
+    poll(&mut agent, 0);
+    let mark = agent.begin_status();
+    let reply = confirmed(reply(2, vec![start_order(1, 2)]), 0, true);
+    agent.take_reply(0, &reply).unwrap();
+    agent.start_done(task(), AttemptNumber::new(1), &Ok(()));
+    // The worker wrote this answer before it started the task.
+    agent.take_status(mark, &status(1100, Vec::new()));
+    assert_eq!(agent.held_count(), 1);
+}
+
+#[test]
+fn an_announcement_carries_the_load_and_every_report() {
+    let mut agent = agent_with_task();
+    let mark = agent.begin_status();
+    agent.take_status(mark, &status(3000, vec![at_worker(TaskPhase::Succeeded)]));
+    poll(&mut agent, 1);
+    // An entry of which the agent has heard nothing asks for all it has.
+    let mut asking = reply(2, Vec::new());
+    asking.owned.clear();
+    asking.wants_announcement = true;
+    agent.take_reply(1, &asking).unwrap();
+    // It asks again: it may have forgotten what it was told.
+    poll(&mut agent, 1);
+    agent.take_reply(1, &asking).unwrap();
+    let poll = poll(&mut agent, 1);
+    assert!(poll.announcement.is_some());
+    assert!(poll.load.is_some());
+    let has_end = events(&poll)
+        .iter()
+        .any(|event| matches!(event, Event::Ended(_)));
+    assert!(has_end, "{:?}", poll.reports);
+}
+
+#[test]
+fn an_urgent_start_keeps_the_room_that_it_makes() {
+    let mut agent = agent_with_task();
+    let mark = agent.begin_status();
+    agent.take_status(mark, &status(2000, vec![at_worker(TaskPhase::Running)]));
+    poll(&mut agent, 0);
+    let start = v1::StartTask {
+        resources: Some(write_resources(&cores(8))),
+        work_millis: 100,
+        class: v1::TaskClass::Urgent.into(),
+        ..v1::StartTask::default()
+    };
+    let mut urgent = order(2, 2, Action::Start(start));
+    urgent.task = Some(v1::TaskRef {
+        job: JobId::new(2).as_bytes().to_vec(),
+        index: 0,
+    });
+    let reply = confirmed(reply(2, vec![urgent]), 0, true);
+    let actions = agent.take_reply(0, &reply).unwrap();
+    assert!(matches!(
+        actions.as_slice(),
+        [AgentAction::Stop(stop)] if stop.kind == StopKind::Checkpoint
+    ));
+    assert_eq!(agent.free(), ResourceSet::default());
+    let answer = StopAnswer {
+        phase: Some(TaskPhase::Evicted),
+        checkpoint_millis: 700,
+    };
+    agent.stop_done(task(), AttemptNumber::new(1), &Ok(answer));
+    assert!(poll(&mut agent, 0).wants_permit, "the urgent task has room");
+}
+
+#[test]
+fn an_earlier_owner_cannot_acknowledge_a_report() {
+    let mut agent = agent_with_task();
+    let mark = agent.begin_status();
+    agent.take_status(mark, &status(2000, vec![at_worker(TaskPhase::Succeeded)]));
+    let report = poll(&mut agent, 0).reports.last().unwrap().number;
+    // The owner of epoch 3 is known to the agent; the owner of epoch 2 has
+    // not heard of it, and its books may not know the attempt.
+    poll(&mut agent, 1);
+    agent.take_reply(1, &reply(3, Vec::new())).unwrap();
+    let stale = v1::PollReply {
+        acknowledged_reports: vec![report],
+        ..reply(2, Vec::new())
+    };
+    let actions = agent.take_reply(0, &stale).unwrap();
+    assert!(actions.is_empty(), "the worker keeps the attempt");
+    let reports = poll(&mut agent, 1).reports;
+    assert!(reports.iter().any(|kept| kept.number == report));
+}
+
+/// The task with its use, as measured at a time of the worker's clock.
+fn used(phase: TaskPhase, measured_at: u64, millicores: u64) -> WorkerTask {
+    WorkerTask {
+        usage: Some(TaskUsage {
+            measured_at: millis(measured_at),
+            cores: CoreCount::from_millicores(millicores),
+            memory: MemorySize::new(millicores << 20),
+        }),
+        ..at_worker(phase)
+    }
+}
+
+fn see(agent: &mut AgentTasks, clock: u64, shown: WorkerTask) {
+    let mark = agent.begin_status();
+    agent.take_status(mark, &status(clock, vec![shown]));
+}
+
+/// The use that the agent reports of the task's end.
+fn reported_use(agent: &mut AgentTasks) -> Option<u64> {
+    see(agent, 9000, at_worker(TaskPhase::Succeeded));
+    let poll = poll(agent, 0);
+    let usage = events(&poll).into_iter().find_map(|event| match event {
+        Event::Ended(ended) => Some(ended.usage),
+        _ => None,
+    });
+    usage.unwrap().map(|usage| usage.millicores)
+}
+
+#[test]
+fn the_largest_use_of_an_attempt_is_reported() {
+    let mut agent = agent_with_task();
+    see(&mut agent, 2000, used(TaskPhase::Running, 1500, 700));
+    see(&mut agent, 3000, used(TaskPhase::Running, 2500, 900));
+    see(&mut agent, 4000, used(TaskPhase::Running, 3500, 300));
+    assert_eq!(reported_use(&mut agent), Some(900));
+}
+
+#[test]
+fn late_use_from_before_the_attempt_counts_for_nothing() {
+    let mut agent = agent_with_task();
+    see(&mut agent, 2000, used(TaskPhase::Running, 900, 700));
+    assert_eq!(reported_use(&mut agent), None);
+}
+
+#[test]
+fn use_of_slowed_tasks_counts_for_nothing() {
+    let mut agent = agent_with_task();
+    agent.set_batch_speed(40);
+    see(&mut agent, 3000, used(TaskPhase::Running, 2500, 200));
+    agent.set_batch_speed(100);
+    see(&mut agent, 4000, used(TaskPhase::Running, 2600, 200));
+    see(&mut agent, 5000, used(TaskPhase::Running, 3500, 600));
+    assert_eq!(reported_use(&mut agent), Some(600));
+}
+
+#[test]
+fn the_most_harmful_batch_task_is_evicted_to_relieve_the_service() {
+    let mut agent = agent();
+    poll(&mut agent, 0);
+    let small = ResourceSet::new(
+        CoreCount::from_millicores(2000),
+        MemorySize::new(1 << 20),
+        AcceleratorCount::new(0),
+    );
+    let orders = [(1, 100), (2, 4000), (3, 800)].map(|(number, harm)| {
+        let start = v1::StartTask {
+            resources: Some(write_resources(&small)),
+            work_millis: 60_000,
+            harm_permille_cores: harm,
+            ..v1::StartTask::default()
+        };
+        let mut order = order(number, 2, Action::Start(start));
+        order.task = Some(v1::TaskRef {
+            job: JobId::new(u128::from(number)).as_bytes().to_vec(),
+            index: 0,
+        });
+        order
+    });
+    let reply = confirmed(reply(2, orders.to_vec()), 0, true);
+    agent.take_reply(0, &reply).unwrap();
+    let attempt = AttemptNumber::new(1);
+    for number in 1..=3 {
+        agent.start_done(TaskId::new(JobId::new(number), 0), attempt, &Ok(()));
+    }
+    assert_eq!(agent.harm_permille(), 12 + 500 + 100);
+    let mark = agent.begin_status();
+    let shown = (1..=3).map(|number| WorkerTask {
+        task: TaskId::new(JobId::new(number), 0),
+        ..at_worker(TaskPhase::Running)
+    });
+    agent.take_status(mark, &status(5000, shown.collect()));
+    let Some(AgentAction::Stop(stop)) = agent.relieve_service() else {
+        panic!("nothing is evicted");
+    };
+    assert_eq!(stop.task, TaskId::new(JobId::new(2), 0));
+    assert_eq!(stop.kind, StopKind::Checkpoint);
+}
--- /dev/null
+++ b/crates/turmeric-tasks/tests/schedules.rs
@@ -0,0 +1,139 @@
+//! Entries, agents, workers and the table through random schedules of
+//! deaths, pauses, lost answers, outages and races.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod world;
+
+use proptest::prelude::*;
+use world::{World, WorldEvent};
+
+fn event() -> impl Strategy<Value = WorldEvent> {
+    let entry = 0..2_usize;
+    let agent = 0..3_usize;
+    prop_oneof![
+        20 => (1..40_usize, 0..50_u64, any::<u64>()).prop_map(|(count, loss_percent, seed)| {
+            WorldEvent::Lossy {
+                count,
+                loss_percent,
+                seed,
+            }
+        }),
+        8 => (entry.clone(), any::<bool>())
+            .prop_map(|(entry, urgent)| WorldEvent::Submit { entry, urgent }),
+        4 => (entry.clone(), entry.clone())
+            .prop_map(|(entry, partition)| WorldEvent::TakeOver { entry, partition }),
+        2 => entry.clone().prop_map(WorldEvent::KillEntry),
+        3 => agent.clone().prop_map(WorldEvent::KillAgent),
+        1 => agent.clone().prop_map(WorldEvent::Reboot),
+        4 => (agent.clone(), any::<bool>())
+            .prop_map(|(agent, open)| WorldEvent::SetOpen { agent, open }),
+        2 => Just(WorldEvent::CancelSome),
+        4 => (1..4_000_u64).prop_map(WorldEvent::Pass),
+        2 => agent.clone().prop_map(WorldEvent::Status),
+        2 => agent.clone().prop_map(WorldEvent::Act),
+        2 => agent.clone().prop_map(WorldEvent::ActLostAnswer),
+        2 => entry.clone().prop_map(WorldEvent::AppendLostAnswer),
+        2 => (entry.clone(), agent.clone())
+            .prop_map(|(entry, agent)| WorldEvent::LoseReply { entry, agent }),
+        4 => (1..15_usize).prop_map(rounds),
+        4 => (20..120_usize, proptest::option::of(agent), proptest::option::of(entry)).prop_map(
+            |(count, paused_agent, cut_entry)| WorldEvent::Rounds {
+                count,
+                paused_agent,
+                cut_entry,
+            }
+        ),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_schedule_breaks_a_promise(events in proptest::collection::vec(event(), 10..60)) {
+        let mut world = World::new();
+        for event in &events {
+            world.apply(event);
+            world.check()?;
+        }
+    }
+
+    #[test]
+    fn after_any_schedule_a_quiet_time_finishes_all_tasks(
+        events in proptest::collection::vec(event(), 10..40),
+    ) {
+        let mut world = World::new();
+        for event in &events {
+            world.apply(event);
+        }
+        world.settle();
+        world.check()?;
+        prop_assert_eq!(world.unfinished(), 0);
+    }
+}
+/// Rounds in which everything works.
+fn rounds(count: usize) -> WorldEvent {
+    WorldEvent::Rounds {
+        count,
+        paused_agent: None,
+        cut_entry: None,
+    }
+}
+
+/// Rounds in which an entry is cut off from everything.
+fn cut_rounds(count: usize, entry: usize) -> WorldEvent {
+    WorldEvent::Rounds {
+        count,
+        paused_agent: None,
+        cut_entry: Some(entry),
+    }
+}
+
+#[test]
+fn an_entry_that_forgot_its_agents_learns_what_they_have_left() {
+    let mut world = World::new();
+    for event in [
+        WorldEvent::TakeOver {
+            entry: 1,
+            partition: 0,
+        },
+        WorldEvent::TakeOver {
+            entry: 1,
+            partition: 1,
+        },
+        rounds(5),
+        cut_rounds(80, 1),
+        WorldEvent::Place(1),
+        WorldEvent::Submit {
+            entry: 1,
+            urgent: false,
+        },
+        WorldEvent::Append(1),
+    ] {
+        world.apply(&event);
+    }
+    world.settle();
+    assert_eq!(world.unfinished(), 0);
+}
+
+#[test]
+fn an_agent_that_outslept_its_lease_discards_the_lapsed_attempt() {
+    let mut world = World::new();
+    for event in [
+        WorldEvent::Submit {
+            entry: 0,
+            urgent: false,
+        },
+        rounds(8),
+        WorldEvent::Rounds {
+            count: 70,
+            paused_agent: Some(0),
+            cut_entry: None,
+        },
+        rounds(20),
+    ] {
+        world.apply(&event);
+        world.check().unwrap();
+    }
+}
--- /dev/null
+++ b/crates/turmeric-tasks/tests/sessions.rs
@@ -0,0 +1,57 @@
+//! What an entry tells an agent when replies get lost.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod entry;
+
+use entry::{append, context, full_poll, poll, scheduler, scheduler_with_task};
+use turmeric_schema::v1;
+use turmeric_types::{AgentId, MonoTime};
+
+#[test]
+fn settings_are_sent_until_the_agent_has_them() {
+    let mut scheduler = scheduler();
+    let agent: AgentId = "w1.00000001".parse().unwrap();
+    scheduler.receive_poll(&poll(1, 0), context(0)).unwrap();
+    let update = v1::SettingsUpdate {
+        version: 3,
+        values: Vec::new(),
+    };
+    scheduler.offer_settings(&agent, update);
+    let lost = scheduler.reply(&agent, MonoTime::from_millis(1)).unwrap();
+    assert_eq!(lost.settings.unwrap().version, 3);
+    // The reply was lost: the agent polls in the version that it had.
+    scheduler.receive_poll(&poll(2, 0), context(10)).unwrap();
+    let again = scheduler.reply(&agent, MonoTime::from_millis(11)).unwrap();
+    assert_eq!(again.settings.unwrap().version, 3);
+    scheduler.receive_poll(&poll(3, 3), context(20)).unwrap();
+    let reply = scheduler
+        .reply(&agent, MonoTime::from_millis(5000))
+        .unwrap();
+    assert_eq!(reply.settings, None);
+}
+
+#[test]
+fn a_poll_that_a_later_one_has_overtaken_takes_no_task_back() {
+    let (mut scheduler, partition, agent) = scheduler_with_task();
+    scheduler
+        .receive_poll(&full_poll(1, 0), context(10))
+        .unwrap();
+    scheduler.set_agent_open(&agent, true);
+    scheduler.place_waiting();
+    append(&mut scheduler, partition);
+    let reply = scheduler.reply(&agent, MonoTime::from_millis(20)).unwrap();
+    let order = reply.orders.last().unwrap().clone();
+    // The second poll was sent before the reply, without the task in it; the
+    // third one carries the task, and the entry reads it first.
+    let mut third = full_poll(3, order.number);
+    third.announcement.as_mut().unwrap().running = vec![v1::RunningTask {
+        task: order.task.clone(),
+        attempt: order.attempt,
+        partition: order.partition,
+    }];
+    scheduler.receive_poll(&third, context(30)).unwrap();
+    let second = scheduler.receive_poll(&full_poll(2, 0), context(31));
+    assert_eq!(scheduler.next_append(partition), None, "nothing to write");
+    assert_eq!(second, Ok(None), "the poll gets no answer");
+}
--- /dev/null
+++ b/crates/turmeric-tasks/tests/world/worker.rs
@@ -0,0 +1,223 @@
+//! A worker as the agent's interface shows it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use turmeric_types::{
+    AttemptNumber, CoreCount, Incarnation, MemorySize, MonoTime, ResourceSet, TaskId,
+};
+use turmeric_worker::{
+    LeaseRenewal, StartRequest, StopAnswer, StopKind, StopRequest, TaskPhase, TaskUsage,
+    WorkerError, WorkerStatus, WorkerTask,
+};
+
+pub struct ModelWorker {
+    pub capacity: ResourceSet,
+    instance: u32,
+    incarnation: u64,
+    booted_at: MonoTime,
+    advanced_to: MonoTime,
+    tasks: BTreeMap<TaskId, (WorkerTask, u64)>,
+    last_attempts: BTreeMap<TaskId, AttemptNumber>,
+    started: BTreeSet<(TaskId, AttemptNumber)>,
+    pub is_overfilled: bool,
+    pub has_repeated_start: bool,
+}
+
+fn refused(reason: &str) -> WorkerError {
+    WorkerError::Refused {
+        reason: reason.to_owned(),
+    }
+}
+
+impl ModelWorker {
+    pub fn new(capacity: ResourceSet, instance: u32) -> Self {
+        Self {
+            capacity,
+            instance,
+            incarnation: 0,
+            booted_at: MonoTime::default(),
+            advanced_to: MonoTime::default(),
+            tasks: BTreeMap::new(),
+            last_attempts: BTreeMap::new(),
+            started: BTreeSet::new(),
+            is_overfilled: false,
+            has_repeated_start: false,
+        }
+    }
+
+    pub fn reboot(&mut self, instance: u32, now: MonoTime) {
+        self.instance = instance;
+        self.incarnation = 0;
+        self.booted_at = now;
+        self.tasks.clear();
+        self.last_attempts.clear();
+    }
+
+    /// The clock of the VM starts when it boots.
+    fn clock(&self, now: MonoTime) -> MonoTime {
+        MonoTime::default().after(now.since(self.booted_at))
+    }
+
+    pub fn attach(&mut self, incarnation: u64) {
+        self.incarnation = self.incarnation.max(incarnation);
+    }
+
+    pub fn advance(&mut self, now: MonoTime) {
+        let clock = self.clock(now);
+        let elapsed = now.since(self.advanced_to).as_millis() as u64;
+        self.advanced_to = now;
+        for (task, work) in self.tasks.values_mut() {
+            if task.phase != TaskPhase::Running {
+                continue;
+            }
+            // Work stops at the lease's end, even if nobody looks.
+            let overdue = clock.since(task.lease_until).as_millis() as u64;
+            task.done_millis += elapsed.saturating_sub(overdue);
+            if task.done_millis >= *work {
+                task.phase = TaskPhase::Succeeded;
+            } else if clock >= task.lease_until {
+                task.phase = TaskPhase::Suspended;
+            }
+        }
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = TaskId> + '_ {
+        self.tasks
+            .values()
+            .filter(|(task, _)| task.phase == TaskPhase::Running)
+            .map(|(task, _)| task.task)
+    }
+
+    /// Returns whether the worker holds the attempt under a lease.
+    pub fn is_leased(&self, task: TaskId, attempt: AttemptNumber, now: MonoTime) -> bool {
+        self.tasks
+            .get(&task)
+            .is_some_and(|(held, _)| held.attempt == attempt && self.clock(now) < held.lease_until)
+    }
+
+    pub fn status(&self, now: MonoTime) -> WorkerStatus {
+        WorkerStatus {
+            instance: self.instance,
+            clock: self.clock(now),
+            capacity: self.capacity,
+            incarnation: Incarnation::new(self.incarnation),
+            tasks: self
+                .tasks
+                .values()
+                .map(|(task, _)| self.shown(task, now))
+                .collect(),
+            used_millicores: 0,
+        }
+    }
+
+    /// Shows an attempt with its use: a core and a GiB if it has as much.
+    fn shown(&self, task: &WorkerTask, now: MonoTime) -> WorkerTask {
+        let usage = TaskUsage {
+            measured_at: self.clock(now),
+            cores: task.resources.cores.min(CoreCount::from_millicores(1000)),
+            memory: task.resources.memory.min(MemorySize::new(1 << 30)),
+        };
+        WorkerTask {
+            usage: Some(usage),
+            ..task.clone()
+        }
+    }
+
+    pub fn start(&mut self, request: &StartRequest, now: MonoTime) -> Result<(), WorkerError> {
+        if request.incarnation.get() != self.incarnation {
+            return Err(refused("another incarnation"));
+        }
+        if self.clock(now) > request.not_after {
+            return Err(refused("too late"));
+        }
+        match self.last_attempts.get(&request.task) {
+            Some(last) if *last > request.attempt => return Err(refused("old attempt")),
+            Some(last) if *last == request.attempt => return Ok(()),
+            _ => {}
+        }
+        self.last_attempts.insert(request.task, request.attempt);
+        if !self.started.insert((request.task, request.attempt)) {
+            self.has_repeated_start = true;
+        }
+        let task = WorkerTask {
+            task: request.task,
+            attempt: request.attempt,
+            partition: request.partition,
+            class: request.class,
+            resources: request.resources,
+            phase: TaskPhase::Running,
+            lease_until: request.lease_until,
+            checkpoint_millis: request.checkpoint_millis,
+            done_millis: request.checkpoint_millis,
+            usage: None,
+        };
+        self.tasks.insert(request.task, (task, request.work_millis));
+        self.advance(now);
+        let held = self
+            .tasks
+            .values()
+            .filter(|(task, _)| matches!(task.phase, TaskPhase::Running | TaskPhase::Suspended))
+            .fold(ResourceSet::default(), |sum, (task, _)| {
+                sum.checked_add(&task.resources).unwrap()
+            });
+        self.is_overfilled |= !held.fits_in(&self.capacity);
+        Ok(())
+    }
+
+    pub fn renew(&mut self, incarnation: u64, renewals: &[LeaseRenewal], now: MonoTime) {
+        if incarnation != self.incarnation {
+            return;
+        }
+        let clock = self.clock(now);
+        for renewal in renewals {
+            let Some((task, _)) = self.tasks.get_mut(&renewal.task) else {
+                continue;
+            };
+            if task.attempt != renewal.attempt {
+                continue;
+            }
+            task.lease_until = task.lease_until.max(renewal.lease_until);
+            if task.phase == TaskPhase::Suspended && task.lease_until > clock {
+                task.phase = TaskPhase::Running;
+            }
+        }
+    }
+
+    pub fn stop(
+        &mut self,
+        request: &StopRequest,
+        now: MonoTime,
+    ) -> Result<StopAnswer, WorkerError> {
+        self.advance(now);
+        if request.incarnation.get() != self.incarnation {
+            return Err(refused("another incarnation"));
+        }
+        let held = self
+            .tasks
+            .get_mut(&request.task)
+            .filter(|(task, _)| task.attempt == request.attempt);
+        let Some((task, _)) = held else {
+            return Ok(StopAnswer {
+                phase: None,
+                checkpoint_millis: 0,
+            });
+        };
+        let is_live = matches!(task.phase, TaskPhase::Running | TaskPhase::Suspended);
+        match request.kind {
+            StopKind::Checkpoint if is_live => {
+                task.checkpoint_millis = task.done_millis;
+                task.phase = TaskPhase::Evicted;
+            }
+            StopKind::Checkpoint => {}
+            StopKind::Forget if is_live => return Err(refused("not over")),
+            StopKind::Forget | StopKind::Discard => {
+                self.tasks.remove(&request.task);
+            }
+        }
+        let shown = self.tasks.get(&request.task).map(|(task, _)| task);
+        Ok(StopAnswer {
+            phase: shown.map(|task| task.phase),
+            checkpoint_millis: shown.map_or(0, |task| task.checkpoint_millis),
+        })
+    }
+}
--- /dev/null
+++ b/crates/turmeric-testbed/tests/regions.rs
@@ -0,0 +1,96 @@
+//! Two regions that lose each other for a while, on real processes.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+use std::time::Duration;
+
+use turmeric_testbed::{AgentPlan, BedPlan, RequestForm, TestBed};
+
+const LONG: Duration = Duration::from_secs(60);
+
+/// Longer than it takes until partitions move and leases have lapsed.
+const CUT_TIME: Duration = Duration::from_secs(15);
+
+/// The table stands in `morava`, with an entry and two agents; `attiki` has
+/// as many. Agents 0 and 1 are in `morava`, entry 0 too.
+async fn start() -> TestBed {
+    // There is room in `morava` for everything that runs in `attiki`.
+    let near = AgentPlan::new("morava-a").with_cores("32");
+    let far = AgentPlan::new("attiki-pir").with_region("attiki");
+    let agents = vec![near.clone(), near, far.clone(), far];
+    let plan = BedPlan::new(2, agents)
+        .without_homes()
+        // Longer than an agent may be silent, so that the lease is waited for.
+        .with_task_lease("8s")
+        .with_entry_region(1, "attiki");
+    TestBed::start(plan).await
+}
+
+/// Submits two tasks for each of twelve teams; returns the jobs.
+async fn submit(bed: &TestBed, work_millis: u64) -> Vec<String> {
+    let mut jobs = Vec::new();
+    for number in 0..12 {
+        let job = turmeric_testbed::new_job_id();
+        let team = format!("team-{number}");
+        bed.submit_as(&job, &team, "batch", "2", work_millis, 2)
+            .await;
+        jobs.push(job);
+    }
+    jobs
+}
+
+async fn running_at(bed: &TestBed, agents: std::ops::Range<usize>) -> usize {
+    let records = bed.records().await;
+    let intervals = records.workers[agents]
+        .iter()
+        .flat_map(|worker| &worker.intervals);
+    intervals
+        .filter(|interval| interval.ended_at.is_none())
+        .count()
+}
+
+#[tokio::test]
+async fn regions_that_lose_each_other_run_nothing_twice_and_finish_everything() {
+    let bed = start().await;
+    let jobs = submit(&bed, 16_000).await;
+    for job in &jobs {
+        bed.wait_running(job, 2, LONG).await;
+    }
+    assert!(running_at(&bed, 2..4).await > 0, "attiki runs some of them");
+    bed.cut_regions(true).await;
+    tokio::time::sleep(CUT_TIME).await;
+    // Without the table nobody may go on there.
+    assert_eq!(running_at(&bed, 2..4).await, 0);
+    // Each region answers requests with what it reaches.
+    for entry in &bed.entry_addresses {
+        let answer = bed.send(*entry, &RequestForm::new("cut")).await.unwrap();
+        assert!(answer.status.is_success(), "{:?}", answer.status);
+    }
+    // Jobs are taken where the table is, and at once.
+    let late = turmeric_testbed::new_job_id();
+    bed.submit_as(&late, "team-3", "batch", "2", 300, 2).await;
+    bed.wait_phase(&late, "succeeded", 2, LONG).await;
+    bed.cut_regions(false).await;
+    for job in &jobs {
+        bed.wait_phase(job, "succeeded", 2, LONG).await;
+    }
+    bed.records().await.assert_invariants();
+}
+
+#[tokio::test]
+async fn a_region_that_comes_back_takes_tasks_again() {
+    let bed = start().await;
+    bed.cut_regions(true).await;
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    bed.cut_regions(false).await;
+    bed.wait_ready().await;
+    let jobs = submit(&bed, 5_000).await;
+    bed.wait_until("attiki to run tasks", LONG, async || {
+        running_at(&bed, 2..4).await > 0
+    })
+    .await;
+    for job in &jobs {
+        bed.wait_phase(job, "succeeded", 2, LONG).await;
+    }
+    bed.records().await.assert_invariants();
+}
--- /dev/null
+++ b/crates/turmeric-types/src/random.rs
@@ -0,0 +1,33 @@
+//! A small seeded generator, so that decisions can be repeated.
+
+/// A splitmix64 generator.
+#[derive(Clone, Debug)]
+pub struct SplitRandom {
+    state: u64,
+}
+
+impl SplitRandom {
+    /// Creates a generator with this seed.
+    pub const fn new(seed: u64) -> Self {
+        Self { state: seed }
+    }
+
+    /// Returns the next 64 bits.
+    pub fn next_bits(&mut self) -> u64 {
+        self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut bits = self.state;
+        bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        bits ^ (bits >> 31)
+    }
+
+    /// Returns a number below `bound`, which must not be zero.
+    pub fn next_below(&mut self, bound: usize) -> usize {
+        ((u128::from(self.next_bits()) * bound as u128) >> 64) as usize
+    }
+
+    /// Returns a number from 0 up to and without 1.
+    pub fn next_unit(&mut self) -> f64 {
+        (self.next_bits() >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
