Have attiki run tasks before the regions test cuts the paths

The test submitted as soon as each entry had a session with each agent, but an entry places on an agent only once the agent's tasks are compared with its books; agents behind the relays get there later, and morava has room for all. Ruled out: tasks that avoid attiki once all agents are open. Change: test only. morava takes no tasks until attiki runs half of them; 12 are asserted there where one was. Conclusion: the product was right, the set-up of the test was not.

--- a/crates/turmeric-testbed/tests/regions.rs
+++ b/crates/turmeric-testbed/tests/regions.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
 
+use std::ops::Range;
 use std::time::Duration;
 
 use turmeric_testbed::{AgentPlan, BedPlan, RequestForm, TestBed};
@@ -26,10 +27,10 @@
     TestBed::start(plan).await
 }
 
-/// Submits two tasks for each of twelve teams; returns the jobs.
-async fn submit(bed: &TestBed, work_millis: u64) -> Vec<String> {
+/// Submits two tasks for each of these teams; returns the jobs.
+async fn submit(bed: &TestBed, teams: Range<usize>, work_millis: u64) -> Vec<String> {
     let mut jobs = Vec::new();
-    for number in 0..12 {
+    for number in teams {
         let job = turmeric_testbed::new_job_id();
         let team = format!("team-{number}");
         bed.submit_as(&job, &team, "batch", "2", work_millis, 2)
@@ -39,7 +40,13 @@
     jobs
 }
 
-async fn running_at(bed: &TestBed, agents: std::ops::Range<usize>) -> usize {
+async fn wait_running(bed: &TestBed, jobs: &[String]) {
+    for job in jobs {
+        bed.wait_running(job, 2, LONG).await;
+    }
+}
+
+async fn running_at(bed: &TestBed, agents: Range<usize>) -> usize {
     let records = bed.records().await;
     let intervals = records.workers[agents]
         .iter()
@@ -52,11 +59,15 @@
 #[tokio::test]
 async fn regions_that_lose_each_other_run_nothing_twice_and_finish_everything() {
     let bed = start().await;
-    let jobs = submit(&bed, 16_000).await;
-    for job in &jobs {
-        bed.wait_running(job, 2, LONG).await;
-    }
-    assert!(running_at(&bed, 2..4).await > 0, "attiki runs some of them");
+    // Entries use the agents that they know first, which may be only those of
+    // `morava`; so it takes no tasks until `attiki` runs half of them.
+    bed.change_settings("/morava", "in-service", "false").await;
+    let mut jobs = submit(&bed, 0..6, 16_000).await;
+    wait_running(&bed, &jobs).await;
+    assert_eq!(running_at(&bed, 2..4).await, 12);
+    bed.change_settings("/morava", "in-service", "true").await;
+    jobs.extend(submit(&bed, 6..12, 16_000).await);
+    wait_running(&bed, &jobs[6..]).await;
     bed.cut_regions(true).await;
     tokio::time::sleep(CUT_TIME).await;
     // Without the table nobody may go on there.
@@ -84,7 +95,7 @@
     tokio::time::sleep(Duration::from_secs(8)).await;
     bed.cut_regions(false).await;
     bed.wait_ready().await;
-    let jobs = submit(&bed, 5_000).await;
+    let jobs = submit(&bed, 0..12, 5_000).await;
     bed.wait_until("attiki to run tasks", LONG, async || {
         running_at(&bed, 2..4).await > 0
     })
