--- a/crates/turmeric-testbed/tests/regions.rs
+++ b/crates/turmeric-testbed/tests/regions.rs
@@ -40,7 +40,7 @@
     jobs
 }
 
-async fn wait_running(bed: &TestBed, jobs: &[String]) {
+async fn wait_all_running(bed: &TestBed, jobs: &[String]) {
     for job in jobs {
         bed.wait_running(job, 2, LONG).await;
     }
@@ -59,15 +59,16 @@
 #[tokio::test]
 async fn regions_that_lose_each_other_run_nothing_twice_and_finish_everything() {
     let bed = start().await;
-    // Entries use the agents that they know first, which may be only those of
-    // `morava`; so it takes no tasks until `attiki` runs half of them.
+    // An entry places on an agent only after it has compared the agent's tasks
+    // with its books, and `morava` may be first and take all. So it takes none
+    // until `attiki` runs half of them.
     bed.change_settings("/morava", "in-service", "false").await;
     let mut jobs = submit(&bed, 0..6, 16_000).await;
-    wait_running(&bed, &jobs).await;
+    wait_all_running(&bed, &jobs).await;
     assert_eq!(running_at(&bed, 2..4).await, 12);
     bed.change_settings("/morava", "in-service", "true").await;
     jobs.extend(submit(&bed, 6..12, 16_000).await);
-    wait_running(&bed, &jobs[6..]).await;
+    wait_all_running(&bed, &jobs[6..]).await;
     bed.cut_regions(true).await;
     tokio::time::sleep(CUT_TIME).await;
     // Without the table nobody may go on there.
--- a/crates/turmeric-testbed/tests/tasks.rs
+++ b/crates/turmeric-testbed/tests/tasks.rs
@@ -232,8 +232,8 @@
 #[tokio::test]
 async fn a_zone_that_leaves_is_drained_and_its_work_resumes_once() {
     let bed = TestBed::start(plan(2, 4)).await;
-    // Tasks are packed, so they would fill any two of the four VMs; both of
-    // them must be in the zone that leaves.
+    // Placement packs the tasks onto any two of the four VMs, which may both be
+    // in the zone that stays. So that one takes none until all of them run.
     bed.change_settings("/morava/morava-b", "in-service", "false")
         .await;
     let job = bed.submit("batch", "4", 8000, 8).await;
