Withdraw the start order of an attempt whose lease lapsed

Cause: an entry that was cut off after it logged an assignment concluded later that the lease had lapsed, but its session still offered the start. An agent that polled before the append was durable got the old start and a lease with it, while the next attempt was placed elsewhere. Ruled out: lease arithmetic, overtaking polls, the model (no message was lost in the traced schedule). Change: writing a lapse drops the undelivered start order. Conclusion: one record of what is offered follows the log's decision.

--- a/crates/turmeric-tasks/src/scheduler/reconcile.rs
+++ b/crates/turmeric-tasks/src/scheduler/reconcile.rs
@@ -117,7 +117,7 @@
         attempt: AttemptNumber,
     ) {
         if let Some(session) = self.sessions.get_mut(agent) {
-            session.forget_task(task);
+            session.withdraw_start(task, attempt);
         }
         let change = TaskChange::Returned {
             attempt,
--- a/crates/turmeric-tasks/src/scheduler/session.rs
+++ b/crates/turmeric-tasks/src/scheduler/session.rs
@@ -194,6 +194,20 @@
         self.settings_update.take_if(is_known);
     }
 
+    /// Drops the order to start an attempt that is over.
+    ///
+    /// A start that is still offered would reach the agent together with a
+    /// lease, while the task is placed elsewhere.
+    pub(crate) fn withdraw_start(&mut self, task: TaskId, attempt: AttemptNumber) {
+        self.unconfirmed.remove(&task);
+        self.orders.retain(|_, order| {
+            let is_start = matches!(order.action, Some(Action::Start(_)));
+            !is_start
+                || order.attempt != attempt.get()
+                || read_task(order.task.as_ref()) != Ok(task)
+        });
+    }
+
     /// Drops the orders of a partition that the entry has given up.
     pub(crate) fn drop_orders(&mut self, partition: PartitionId) {
         let number = u32::from(partition.get());
--- a/crates/turmeric-tasks/tests/schedules.rs
+++ b/crates/turmeric-tasks/tests/schedules.rs
@@ -137,3 +137,32 @@
         world.check().unwrap();
     }
 }
+
+/// A start that was never delivered must not outlive the lease that the entry
+/// concluded had lapsed: the agent would run it beside the next attempt.
+#[test]
+fn a_start_that_was_never_delivered_is_withdrawn_with_its_lease() {
+    let lossy = |count, seed| WorldEvent::Lossy {
+        count,
+        loss_percent: 0,
+        seed,
+    };
+    let mut world = World::new();
+    for event in [
+        WorldEvent::Submit {
+            entry: 1,
+            urgent: false,
+        },
+        rounds(2),
+        cut_rounds(40, 1),
+        lossy(1, 11_935_083_533_987_005_449),
+        WorldEvent::Status(0),
+        WorldEvent::Pass(1),
+        lossy(1, 0),
+        lossy(9, 1_240_825_731_236_405_341),
+        lossy(2, 0),
+    ] {
+        world.apply(&event);
+        world.check().unwrap();
+    }
+}
