--- a/crates/turmeric-daemon/src/config.rs
+++ b/crates/turmeric-daemon/src/config.rs
@@ -2,11 +2,13 @@
 
 mod agent;
 mod entry;
+mod hosted;
 mod options;
 mod reader;
 
 pub(crate) use agent::AgentConfig;
 pub(crate) use entry::EntryConfig;
+pub(crate) use hosted::HostedConfig;
 pub(crate) use options::{LogForm, LogOptions};
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
@@ -28,6 +30,10 @@
     Entry(EntryConfig),
     /// Run as an agent.
     Agent(AgentConfig),
+    /// Run as an entry on the users' platform.
+    HostedEntry(HostedConfig),
+    /// Run as an agent on the users' platform.
+    HostedAgent(HostedConfig),
 }
 
 /// Returns the command line of the daemon.
@@ -57,6 +63,16 @@
             "Admit requests and run tasks beside an endpoint",
             agent::AGENT_FLAGS,
         ))
+        .subcommand(role_command(
+            "hosted-entry",
+            "Accept jobs on the users' platform, and lead when nobody else does",
+            &[hosted::HOSTED_FLAGS],
+        ))
+        .subcommand(role_command(
+            "hosted-agent",
+            "Run tasks beside an endpoint on the users' platform",
+            &[hosted::HOSTED_FLAGS],
+        ))
 }
 
 fn role_command(name: &'static str, about: &'static str, flags: &[&[FlagSpec]]) -> Command {
@@ -78,6 +94,12 @@
 pub(crate) fn read(matches: &ArgMatches) -> Result<ProcessConfig, FindingList> {
     match matches.subcommand() {
         Some(("entry", matches)) => EntryConfig::read(matches).map(ProcessConfig::Entry),
+        Some(("hosted-entry", matches)) => {
+            HostedConfig::read(matches).map(ProcessConfig::HostedEntry)
+        }
+        Some(("hosted-agent", matches)) => {
+            HostedConfig::read(matches).map(ProcessConfig::HostedAgent)
+        }
         Some((_, matches)) => AgentConfig::read(matches).map(ProcessConfig::Agent),
         None => Err(FindingList::new()),
     }
--- /dev/null
+++ b/crates/turmeric-daemon/src/config/hosted.rs
@@ -0,0 +1,44 @@
+//! Settings of the roles on the users' platform.
+
+use clap::ArgMatches;
+use spdlog::Level;
+use turmeric_platform::BootSettings;
+use turmeric_types::FindingList;
+
+use super::FlagSpec;
+use super::options::LogLevel;
+use super::reader::FlagReader;
+
+pub(crate) const HOSTED_FLAGS: &[FlagSpec] = &[FlagSpec {
+    name: "log-level",
+    default: Some("info"),
+    help: "Least severe level to log: error, warn, info, debug or trace",
+}];
+
+/// Settings of a role on the users' platform.
+#[derive(Clone, Debug)]
+pub(crate) struct HostedConfig {
+    /// What the platform lays for the process.
+    pub(crate) boot: BootSettings,
+    /// Least severe level to log.
+    pub(crate) level: Level,
+}
+
+impl HostedConfig {
+    /// Reads the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns all mistakes together.
+    pub(crate) fn read(matches: &ArgMatches) -> Result<Self, FindingList> {
+        let mut reader = FlagReader::new(matches);
+        let level = reader.value::<LogLevel>("log-level");
+        let mut findings = reader.findings;
+        let boot = findings.collect("the platform's settings", BootSettings::from_environment());
+        let config = level.zip(boot).map(|(level, boot)| Self {
+            boot,
+            level: level.0,
+        });
+        findings.into_result(config)
+    }
+}
--- a/crates/turmeric-daemon/src/config/options.rs
+++ b/crates/turmeric-daemon/src/config/options.rs
@@ -126,7 +126,7 @@
 }
 
 /// A log level as operators write it.
-struct LogLevel(Level);
+pub(crate) struct LogLevel(pub(crate) Level);
 
 impl FromStr for LogLevel {
     type Err = String;
--- /dev/null
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -0,0 +1,263 @@
+//! An agent on the users' platform.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use eyre::{Result, eyre};
+use spdlog::{info, warn};
+use tokio::sync::Notify;
+use turmeric_jobs::{EndpointLife, PaceControl, PressureSample, RunTable, VmReport};
+use turmeric_platform::{BootSettings, CallClient, RegistryPing, StoreClient, WorkerCalls};
+use turmeric_schema::v1;
+use turmeric_types::{MonoTime, SplitRandom};
+
+use super::ProcessSignals;
+use super::leadership::{CALL_TIMEOUT, LEADER_KEY, LEADER_TABLE, read_leader};
+use super::link::{LinkReader, LinkWriter, connect};
+use super::registry::serve_registry;
+use super::worker_loop::{run_calls, run_holds};
+use crate::clock::ProcessClock;
+
+/// Time between two reports when nothing is new.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time between two reports at the least, so that news share them.
+const REPORT_GAP: Duration = Duration::from_millis(20);
+
+/// A leader that has been silent for this long is looked for anew; it answers
+/// each report.
+const LEADER_SILENCE: Duration = Duration::from_millis(1400);
+
+/// Wait before the leader's row is read again.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time for calls in progress when the process is told to stop.
+const STOP_TERM: Duration = Duration::from_millis(300);
+
+/// What the tasks of an agent share. The one lock is never held over a wait.
+pub(crate) struct AgentState {
+    pub(crate) vm: String,
+    pub(crate) zone: String,
+    pub(crate) clock: ProcessClock,
+    pub(crate) worker: WorkerCalls,
+    core: Mutex<AgentCore>,
+    /// Something has to be reported.
+    pub(crate) news: Notify,
+    /// A call to the worker may be due.
+    pub(crate) calls: Notify,
+    /// The endpoint's life or the fence has changed.
+    pub(crate) life: Notify,
+}
+
+/// What an agent knows.
+#[derive(Debug, Default)]
+pub(crate) struct AgentCore {
+    pub(crate) table: RunTable,
+    pub(crate) pace: PaceControl,
+    /// When readings were last taken in.
+    pub(crate) paced_at: MonoTime,
+    /// Newest reading of serving tasks beside filling ones, with its number.
+    pub(crate) pressure: Option<(u64, PressureSample)>,
+    /// The fence of this life of the endpoint; zero before one is taken.
+    pub(crate) fence: u64,
+    pub(crate) reading: Option<turmeric_jobs::ClockReading>,
+    /// Latest deadline that the worker may have been given, by its clock.
+    pub(crate) deadline_millis: u64,
+    ping_sequence: u64,
+}
+
+impl AgentState {
+    /// Locks what the agent knows.
+    pub(crate) fn core(&self) -> MutexGuard<'_, AgentCore> {
+        self.core
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Takes in a heartbeat; one that a later one has overtaken is ignored.
+    pub(crate) fn take_ping(&self, ping: RegistryPing) {
+        let mut core = self.core();
+        let is_same = core.table.life() == Some(&ping.facts.life);
+        if is_same && ping.sequence <= core.ping_sequence {
+            return;
+        }
+        let is_draining = ping.facts.is_draining;
+        let life = ping.facts.life.clone();
+        let is_new = core.table.take_facts(ping.facts);
+        if core.table.life() == Some(&life) {
+            core.ping_sequence = ping.sequence;
+        }
+        if is_new {
+            core.begin_life();
+            info!("endpoint has begun a life", kv: { life = life.to_string() });
+        }
+        drop(core);
+        if is_new {
+            self.life.notify_one();
+        }
+        if is_new || is_draining {
+            self.news.notify_one();
+        }
+    }
+
+    /// Takes in that the endpoint has ended.
+    pub(crate) fn endpoint_left(&self, endpoint: &str) {
+        let mut core = self.core();
+        if core
+            .table
+            .life()
+            .is_some_and(|life| life.endpoint == endpoint)
+        {
+            core.table.set_over();
+            self.news.notify_one();
+        }
+    }
+}
+
+impl AgentCore {
+    /// Forgets what belonged to an earlier life of the endpoint.
+    pub(crate) fn begin_life(&mut self) {
+        self.pace = PaceControl::default();
+        self.pressure = None;
+        self.reading = None;
+        self.deadline_millis = 0;
+        self.table.lose_sync();
+    }
+
+    /// Returns the life that is held under this agent's fence.
+    pub(crate) fn synced_life(&self) -> Option<EndpointLife> {
+        self.table
+            .is_synced()
+            .then(|| self.table.life().cloned())
+            .flatten()
+    }
+}
+
+/// Runs an agent until SIGTERM.
+pub(crate) async fn run_agent(boot: BootSettings) -> Result<()> {
+    let mut signals = ProcessSignals::new()?;
+    let registry = boot
+        .registry
+        .ok_or_else(|| eyre!("no address for heartbeats"))?;
+    let endpoint = boot
+        .endpoint
+        .ok_or_else(|| eyre!("no address of the endpoint"))?;
+    let client = CallClient::new();
+    let state = Arc::new(AgentState {
+        vm: boot.vm.clone(),
+        zone: boot.zone.clone(),
+        clock: ProcessClock::new(),
+        worker: WorkerCalls::new(client.clone(), endpoint),
+        core: Mutex::new(AgentCore::default()),
+        news: Notify::new(),
+        calls: Notify::new(),
+        life: Notify::new(),
+    });
+    let lease = super::entry::lease_limits(&boot);
+    serve_registry(registry, Arc::clone(&state)).await?;
+    tokio::spawn(run_holds(Arc::clone(&state), lease));
+    tokio::spawn(run_calls(Arc::clone(&state), lease));
+    let store = StoreClient::new(client, boot.store);
+    tokio::spawn(run_link(Arc::clone(&state), store));
+    info!("agent serves", kv: { registry = registry.to_string(), endpoint = endpoint.to_string() });
+    signals.terminated().await;
+    info!("agent stops: told to");
+    state.core().table.set_stopping();
+    state.calls.notify_one();
+    tokio::time::sleep(STOP_TERM).await;
+    info!("agent stopped");
+    Ok(())
+}
+
+/// Keeps a link to the leader.
+async fn run_link(state: Arc<AgentState>, store: StoreClient) {
+    let mut random = SplitRandom::new(state.clock.wall().as_millis());
+    let mut known: Option<SocketAddr> = None;
+    let mut was_linked = false;
+    loop {
+        match store.read_one(LEADER_TABLE, LEADER_KEY, CALL_TIMEOUT).await {
+            Ok(Some(row)) => known = read_leader(&row).address.parse().ok(),
+            Ok(None) => {}
+            // The last known leader is as good as any while the store is away.
+            Err(error) => info!("leader not looked up", kv: { reason = error.to_string() }),
+        }
+        if let Some(address) = known {
+            match connect(address).await {
+                Ok((reader, writer)) => {
+                    info!("linked to the leader", kv: { address = address.to_string() });
+                    was_linked = true;
+                    let ended = keep_link(&state, reader, writer).await;
+                    warn!("leader lost", kv: { reason = format!("{:#}", ended) });
+                }
+                Err(error) => {
+                    if was_linked {
+                        info!("leader not reached", kv: {
+                            address = address.to_string(), reason = format!("{error:#}")
+                        });
+                    }
+                }
+            }
+        }
+        let jitter = Duration::from_millis(random.next_below(150) as u64);
+        tokio::time::sleep(SEARCH_INTERVAL + jitter).await;
+    }
+}
+
+/// Reports and takes orders until the link fails; returns why.
+async fn keep_link(
+    state: &AgentState,
+    mut reader: LinkReader,
+    mut writer: LinkWriter,
+) -> eyre::Report {
+    let send = async {
+        loop {
+            let report = {
+                let now = state.clock.now();
+                let core = state.core();
+                VmReport {
+                    pressure: core.pressure.clone(),
+                    ..core.table.report(&state.vm, &state.zone, now)
+                }
+            };
+            if let Err(error) = writer.send(&report.write()).await {
+                return error;
+            }
+            tokio::time::sleep(REPORT_GAP).await;
+            let _ = tokio::time::timeout(REPORT_INTERVAL, state.news.notified()).await;
+        }
+    };
+    let receive = async {
+        loop {
+            let message = tokio::time::timeout(LEADER_SILENCE, reader.receive::<v1::VmOrders>());
+            let orders = match message.await {
+                Err(_) => return eyre!("silent for {} ms", LEADER_SILENCE.as_millis()),
+                Ok(Err(error)) => return error,
+                Ok(Ok(None)) => return eyre!("closed"),
+                Ok(Ok(Some(orders))) => orders,
+            };
+            if let Err(error) = take_orders(state, &orders) {
+                return error;
+            }
+        }
+    };
+    tokio::select! {
+        ended = send => ended,
+        ended = receive => ended,
+    }
+}
+
+fn take_orders(state: &AgentState, orders: &v1::VmOrders) -> Result<()> {
+    let now = state.clock.now();
+    let mut core = state.core();
+    let epoch = core.table.epoch();
+    let is_taken = core.table.take_orders(orders, now)?;
+    if orders.epoch < epoch {
+        return Err(eyre!("epoch {} after {epoch}", orders.epoch));
+    }
+    drop(core);
+    if is_taken {
+        state.calls.notify_one();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/turmeric-daemon/src/hosted/view.rs
@@ -0,0 +1,66 @@
+//! What an entry knows of operators and of the leader, shared by its tasks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use turmeric_jobs::{QueueDelay, QueuePolicy};
+use turmeric_platform::OperatorConfig;
+use turmeric_schema::v1;
+use turmeric_types::MonoTime;
+
+/// What operators have put in force.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OperatorView {
+    /// The configuration, once one was read.
+    pub(crate) config: Option<Arc<OperatorConfig>>,
+    /// Zones that are out of service.
+    pub(crate) closed_zones: BTreeSet<String>,
+}
+
+impl OperatorView {
+    /// Returns the queues by name.
+    pub(crate) fn queues(&self) -> BTreeMap<String, QueuePolicy> {
+        let routes = self.config.iter().flat_map(|config| &config.routes);
+        routes
+            .map(|route| (route.policy.route.clone(), route.policy.clone()))
+            .collect()
+    }
+}
+
+/// Load of one queue.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct QueueView {
+    /// Accepted jobs of which nothing has started.
+    pub(crate) waiting: u32,
+    /// How long a job that arrives now would wait.
+    pub(crate) delay: QueueDelay,
+}
+
+/// The leader's row as last read.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LeaderView {
+    /// Loads of the queues that have jobs.
+    pub(crate) queues: BTreeMap<String, QueueView>,
+    /// When the row was read.
+    pub(crate) read_at: MonoTime,
+}
+
+impl LeaderView {
+    pub(crate) fn new(row: &v1::LeaderRow, read_at: MonoTime) -> Self {
+        let queues = row
+            .queues
+            .iter()
+            .map(|queue| {
+                let view = QueueView {
+                    waiting: queue.waiting,
+                    delay: QueueDelay {
+                        delay: Duration::from_millis(queue.delay_millis),
+                    },
+                };
+                (queue.route.clone(), view)
+            })
+            .collect();
+        Self { queues, read_at }
+    }
+}
--- a/crates/turmeric-daemon/src/lib.rs
+++ b/crates/turmeric-daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod control;
 mod entry;
 mod headers;
+mod hosted;
 mod http;
 mod lifecycle;
 mod logging;
--- a/crates/turmeric-daemon/src/logging.rs
+++ b/crates/turmeric-daemon/src/logging.rs
@@ -29,3 +29,20 @@
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
+
+/// Sends all logs of this process to standard output, as JSON lines.
+pub(crate) fn init_stdout(level: spdlog::Level, process: &str) -> Result<()> {
+    let sink = StdStreamSink::builder()
+        .stdout()
+        .build()
+        .wrap_err("opening the log")?;
+    sink.set_formatter(Box::new(JsonFormatter::new()));
+    let logger = Logger::builder()
+        .name(process)
+        .sink(Arc::new(sink))
+        .level_filter(LevelFilter::MoreSevereEqual(level))
+        .build()
+        .wrap_err("preparing the log")?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
--- a/crates/turmeric-daemon/src/run.rs
+++ b/crates/turmeric-daemon/src/run.rs
@@ -5,8 +5,10 @@
 use eyre::Result;
 use spdlog::{error, info};
 
-use crate::config::{self, ProcessConfig};
-use crate::{agent, entry, logging};
+use turmeric_platform::BootSettings;
+
+use crate::config::{self, HostedConfig, ProcessConfig};
+use crate::{agent, entry, hosted, logging};
 
 /// Exit code after a failure.
 pub const EXIT_FAILED: u8 = 1;
@@ -44,6 +46,27 @@
 }
 
 fn run(config: ProcessConfig) -> Result<()> {
+    match config {
+        ProcessConfig::HostedEntry(config) => run_hosted(config, hosted::run_entry),
+        ProcessConfig::HostedAgent(config) => run_hosted(config, hosted::run_agent),
+        ProcessConfig::Entry(_) | ProcessConfig::Agent(_) => run_standalone(config),
+    }
+}
+
+/// Runs a role of the users' platform, where a VM gives a part of one core.
+fn run_hosted<F>(config: HostedConfig, role: impl Fn(BootSettings) -> F) -> Result<()>
+where
+    F: Future<Output = Result<()>>,
+{
+    logging::init_stdout(config.level, &config.boot.vm)?;
+    info!("process starts", kv: { version = env!("CARGO_PKG_VERSION"), zone = config.boot.zone });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(role(config.boot))
+}
+
+fn run_standalone(config: ProcessConfig) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
@@ -59,6 +82,7 @@
             info!("agent starts", kv: { version = env!("CARGO_PKG_VERSION") });
             runtime.block_on(agent::run(config))
         }
+        ProcessConfig::HostedEntry(_) | ProcessConfig::HostedAgent(_) => run(config),
     }
 }
 
--- /dev/null
+++ b/crates/turmeric-jobs/src/admission.rs
@@ -0,0 +1,46 @@
+//! Whether a job is accepted when it arrives.
+//!
+//! Load pattern: a burst of large jobs far above the capacity. A job that
+//! could only be done after a late answer has lost its use is refused at once,
+//! with the time after which there should be room.
+
+use std::time::Duration;
+
+use crate::JobSpec;
+
+/// What the leader last said of a queue.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueueDelay {
+    /// Time until a job that arrives now would get room.
+    pub delay: Duration,
+}
+
+/// What to tell the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionDecision {
+    /// Take the job.
+    Accept,
+    /// Refuse it; there should be room after `retry_after`.
+    Refuse {
+        /// Time after which to try again.
+        retry_after: Duration,
+    },
+}
+
+/// Longest delay, as a multiple of the objective, with which a job is taken.
+///
+/// A late answer has some use up to three objectives; one is the job's own
+/// work, and estimates are off by up to nine tenths.
+const DELAY_FACTOR: u32 = 2;
+
+/// Decides whether to accept a job.
+pub fn admit(spec: &JobSpec, delay: QueueDelay) -> AdmissionDecision {
+    let is_open_ended = spec.is_lasting() || spec.repeat.is_some();
+    let limit = spec.objective() * DELAY_FACTOR;
+    if is_open_ended || delay.delay <= limit {
+        return AdmissionDecision::Accept;
+    }
+    AdmissionDecision::Refuse {
+        retry_after: delay.delay - limit,
+    }
+}
--- /dev/null
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -0,0 +1,30 @@
+//! Jobs of steps of tasks: who may start what, where and when.
+//!
+//! Pure decisions: events and times come in, decisions go out. The leading
+//! entry holds a [`JobScheduler`], each agent a [`RunTable`].
+
+mod admission;
+mod lease;
+mod names;
+mod order;
+mod pace;
+mod placement;
+mod pressure;
+mod progress;
+mod report;
+mod runs;
+mod scheduler;
+mod spec;
+
+pub use admission::{AdmissionDecision, QueueDelay, admit};
+pub use lease::{ClockReading, LeaseGrant, LeaseLimits};
+pub use names::{EndpointLife, JobCode, NameError, RunKey, RunNumber, TaskName};
+pub use order::{JobUrgency, rank_job};
+pub use pace::{PaceChange, PaceControl, PaceSample};
+pub use placement::{PlacementRequest, VmRoom, choose_vm, pressure_of};
+pub use pressure::{PressureClass, PressureSample, PressureTable};
+pub use progress::{JobPhase, JobState, RunPlace, TaskState};
+pub use report::{EndKind, EndpointFacts, RunEnd, RunStatus, VmReport, read_key, write_key};
+pub use runs::{RunCall, RunTable, StartAnswer, StartPlan, StopAnswer, WorkerLists};
+pub use scheduler::{CommitPlan, JobScheduler, LeaderTerms};
+pub use spec::{JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
--- /dev/null
+++ b/crates/turmeric-jobs/src/placement.rs
@@ -0,0 +1,153 @@
+//! Which VM gets a task.
+//!
+//! Load pattern: serving tasks whose tail latency suffers from filling tasks
+//! on the same VM, beside nearly full VMs. Serving tasks are packed onto few
+//! VMs; filling tasks go where processors are idle, and beside serving tasks
+//! only as far as their images press little; all others use the rest of the
+//! VMs that serve.
+
+use turmeric_types::{CoreCount, ResourceSet};
+
+use crate::{PressureClass, StepSpec};
+
+/// What a VM offers at this moment.
+#[derive(Clone, Debug)]
+pub struct VmRoom {
+    /// Name of the VM.
+    pub vm: String,
+    /// Service of its endpoint.
+    pub service: String,
+    /// Labels of the VM.
+    pub labels: Vec<String>,
+    /// Rack of the VM.
+    pub rack: Option<String>,
+    /// What is left.
+    pub free: ResourceSet,
+    /// Processors that filling tasks there want; nobody else counts them.
+    pub filled: CoreCount,
+    /// Processors that serving tasks reserve.
+    pub served: CoreCount,
+    /// Tasks on it that serve their own users.
+    pub serving: usize,
+    /// Pressure of the filling tasks there, in thousandths of one that presses.
+    pub pressure: u32,
+    /// Tasks on it that fill.
+    pub filling: usize,
+    /// The VM failed tasks of several jobs lately.
+    pub is_suspect: bool,
+}
+
+/// Part of their reservation that serving tasks leave idle, in thousandths, by
+/// the load that they have on the published deployments (45%).
+const SERVING_IDLE_PERMILLE: u64 = 450;
+
+/// Pressure that the serving tasks of a VM bear, in thousandths of one task
+/// that presses.
+const PRESSURE_LIMIT: u32 = 1300;
+
+/// Returns the pressure of one task, in thousandths of one that presses.
+pub fn pressure_of(class: PressureClass) -> u32 {
+    match class {
+        PressureClass::Light => 150,
+        PressureClass::Unknown | PressureClass::Pressing => 1000,
+    }
+}
+
+/// What a task asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementRequest<'a> {
+    /// Service whose endpoints may run the task.
+    pub service: &'a str,
+    /// The task's step.
+    pub step: &'a StepSpec,
+    /// What is known of its image.
+    pub class: PressureClass,
+}
+
+impl VmRoom {
+    /// Returns the processors that neither other tasks nor filling ones use.
+    pub fn idle(&self) -> CoreCount {
+        let spared = self.served.as_millicores() * SERVING_IDLE_PERMILLE / 1000;
+        let free = self.free.cores.as_millicores() + spared;
+        CoreCount::from_millicores(free.saturating_sub(self.filled.as_millicores()))
+    }
+
+    /// Takes a task of a step into account.
+    pub fn add(&mut self, step: &StepSpec, class: PressureClass) {
+        self.free = self.free.saturating_sub(&step.reserved());
+        if step.latency_target_millis.is_some() {
+            self.serving += 1;
+            let served = self.served.as_millicores() + step.need.cores.as_millicores();
+            self.served = CoreCount::from_millicores(served);
+        }
+        if step.is_filling {
+            self.filling += 1;
+            self.pressure += pressure_of(class);
+            let filled = self.filled.as_millicores() + step.need.cores.as_millicores();
+            self.filled = CoreCount::from_millicores(filled);
+        }
+    }
+}
+
+impl PlacementRequest<'_> {
+    /// Returns whether the VM may run the task, `placed` tasks of the same
+    /// step and occurrence being there already.
+    pub fn fits(&self, room: &VmRoom, placed: u32) -> bool {
+        room.service == self.service
+            && self.step.reserved().fits_in(&room.free)
+            && (!self.step.is_filling || self.fills_in(room))
+            && self.step.vm_limit.is_none_or(|limit| placed < limit)
+            && self
+                .step
+                .label
+                .as_ref()
+                .is_none_or(|label| room.labels.contains(label))
+    }
+
+    /// Returns whether a filling task would find idle processors there and
+    /// disturb nobody.
+    fn fills_in(&self, room: &VmRoom) -> bool {
+        let is_bearable =
+            room.serving == 0 || room.pressure + pressure_of(self.class) <= PRESSURE_LIMIT;
+        is_bearable && self.step.need.cores <= room.idle()
+    }
+
+    fn is_far(&self, room: &VmRoom) -> bool {
+        self.step
+            .rack
+            .as_ref()
+            .is_some_and(|rack| room.rack.as_ref() != Some(rack))
+    }
+}
+
+/// Chooses the VM for a task among those with room.
+///
+/// `placed` tells how many tasks of the same step and occurrence a VM has.
+pub fn choose_vm<'a>(
+    request: &PlacementRequest<'_>,
+    rooms: impl Iterator<Item = &'a VmRoom>,
+    placed: impl Fn(&str) -> u32,
+) -> Option<&'a VmRoom> {
+    rooms
+        .filter(|room| request.fits(room, placed(&room.vm)))
+        .min_by_key(|room| {
+            let cores = room.free.cores.as_millicores();
+            let by_kind = if request.step.latency_target_millis.is_some() {
+                // Beside other serving tasks, and away from filling ones.
+                (room.serving == 0, room.filling, cores)
+            } else if request.step.is_filling {
+                // What presses goes where nothing serves, what does not stays away
+                // from there.
+                let is_light = request.class == PressureClass::Light;
+                let is_misplaced = is_light == (room.serving == 0);
+                (
+                    is_misplaced,
+                    room.filling,
+                    u64::MAX - room.idle().as_millicores(),
+                )
+            } else {
+                (room.serving == 0, 0, cores)
+            };
+            (room.is_suspect, request.is_far(room), by_kind)
+        })
+}
--- /dev/null
+++ b/crates/turmeric-jobs/src/progress.rs
@@ -0,0 +1,219 @@
+//! What the leader has decided and learned of one job.
+
+use std::collections::BTreeMap;
+
+use turmeric_schema::v1;
+use turmeric_types::WallTime;
+
+use crate::{EndpointLife, JobCode, JobSpec, RunNumber, TaskName};
+
+/// Where a job stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum JobPhase {
+    /// Accepted; no task has started.
+    #[default]
+    Queued,
+    /// A task has been given to a VM at least once.
+    Running,
+    /// All tasks have succeeded.
+    Done,
+    /// A task failed as often as it may.
+    Failed,
+    /// The caller cancelled the job.
+    Cancelled,
+}
+
+impl JobPhase {
+    /// Returns whether nothing of the job will run any more.
+    pub fn is_over(self) -> bool {
+        matches!(self, Self::Done | Self::Failed | Self::Cancelled)
+    }
+
+    /// Reads a phase as rows of the store hold it.
+    ///
+    /// Returns [`None`] for a number that no version has written.
+    pub fn read(number: u32) -> Option<Self> {
+        match number {
+            0 => Some(Self::Queued),
+            1 => Some(Self::Running),
+            2 => Some(Self::Done),
+            3 => Some(Self::Failed),
+            4 => Some(Self::Cancelled),
+            _ => None,
+        }
+    }
+
+    fn write(self) -> u32 {
+        match self {
+            Self::Queued => 0,
+            Self::Running => 1,
+            Self::Done => 2,
+            Self::Failed => 3,
+            Self::Cancelled => 4,
+        }
+    }
+}
+
+/// The VM and the life of its endpoint to which an attempt was given.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RunPlace {
+    /// Name of the VM.
+    pub vm: String,
+    /// Life of the endpoint that may run the attempt.
+    pub life: EndpointLife,
+}
+
+/// Where a task stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TaskState {
+    /// The task succeeded.
+    pub is_done: bool,
+    /// Number of the last attempt.
+    pub run: RunNumber,
+    /// Attempts that ended as failed.
+    pub failures: u32,
+    /// Checkpoint to resume from; empty if there is none.
+    pub checkpoint: String,
+    /// Where the last attempt may be running.
+    pub place: Option<RunPlace>,
+}
+
+/// What the leader has decided and learned of one job.
+#[derive(Clone, Debug)]
+pub struct JobState {
+    /// The job as it was accepted.
+    pub spec: JobSpec,
+    /// Where it stands.
+    pub phase: JobPhase,
+    /// When it was over.
+    pub ended_at: Option<WallTime>,
+    /// All tasks of all occurrences.
+    pub tasks: BTreeMap<TaskName, TaskState>,
+    /// Counts the changes since this leader took the job in.
+    pub revision: u64,
+    /// Revision that the store holds.
+    pub recorded: u64,
+}
+
+impl JobState {
+    /// Creates the state of a job of which nothing has been recorded.
+    pub fn new(code: JobCode, spec: JobSpec) -> Self {
+        let mut tasks = BTreeMap::new();
+        for occurrence in 0..spec.occurrences() {
+            for (step, step_spec) in (0..).zip(&spec.steps) {
+                for index in 0..step_spec.count {
+                    let name = TaskName {
+                        job: code,
+                        occurrence,
+                        step,
+                        index,
+                    };
+                    tasks.insert(name, TaskState::default());
+                }
+            }
+        }
+        Self {
+            spec,
+            phase: JobPhase::Queued,
+            ended_at: None,
+            tasks,
+            revision: 0,
+            recorded: 0,
+        }
+    }
+
+    /// Takes in what an earlier leader recorded.
+    pub fn restore(&mut self, code: JobCode, progress: v1::JobProgress) {
+        self.phase = JobPhase::read(progress.phase).unwrap_or_default();
+        self.ended_at = (progress.ended_at > 0).then(|| WallTime::from_millis(progress.ended_at));
+        for task in progress.tasks {
+            let name = TaskName {
+                job: code,
+                occurrence: task.occurrence,
+                step: task.step,
+                index: task.index,
+            };
+            let place = (!task.vm.is_empty()).then_some(RunPlace {
+                vm: task.vm,
+                life: EndpointLife {
+                    endpoint: task.endpoint,
+                    born: task.born,
+                },
+            });
+            if let Some(state) = self.tasks.get_mut(&name) {
+                *state = TaskState {
+                    is_done: task.done,
+                    run: RunNumber::new(task.run),
+                    failures: task.failures,
+                    checkpoint: task.checkpoint,
+                    place,
+                };
+            }
+        }
+    }
+
+    /// Writes what the store is to hold.
+    pub fn write(&self) -> v1::JobProgress {
+        let tasks = self
+            .tasks
+            .iter()
+            .filter(|(_, state)| **state != TaskState::default())
+            .map(|(name, state)| write_task(name, state))
+            .collect();
+        v1::JobProgress {
+            phase: self.phase.write(),
+            ended_at: self.ended_at.map_or(0, WallTime::as_millis),
+            tasks,
+        }
+    }
+
+    /// Records that the job has changed.
+    pub fn touch(&mut self) {
+        self.revision += 1;
+    }
+
+    /// Returns whether all tasks of a step of an occurrence have succeeded.
+    pub fn is_step_done(&self, code: JobCode, occurrence: u32, step: u32) -> bool {
+        let first = TaskName {
+            job: code,
+            occurrence,
+            step,
+            index: 0,
+        };
+        let last = TaskName {
+            index: u32::MAX,
+            ..first
+        };
+        self.tasks
+            .range(first..=last)
+            .all(|(_, state)| state.is_done)
+    }
+
+    /// Returns whether a task may start, by its order among the steps.
+    pub fn is_ready(&self, name: &TaskName) -> bool {
+        self.spec.steps.get(name.step as usize).is_some_and(|step| {
+            step.after
+                .iter()
+                .all(|after| self.is_step_done(name.job, name.occurrence, *after))
+        })
+    }
+}
+
+fn write_task(name: &TaskName, state: &TaskState) -> v1::TaskProgress {
+    let place = state.place.clone();
+    let (vm, life) = place
+        .map(|place| (place.vm, place.life))
+        .unwrap_or_default();
+    v1::TaskProgress {
+        occurrence: name.occurrence,
+        step: name.step,
+        index: name.index,
+        done: state.is_done,
+        run: state.run.get(),
+        failures: state.failures,
+        checkpoint: state.checkpoint.clone(),
+        vm,
+        endpoint: life.endpoint,
+        born: life.born,
+    }
+}
--- /dev/null
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -0,0 +1,211 @@
+//! The leading entry's decisions: what runs where, what is recorded, what
+//! agents are told.
+//!
+//! One entry leads. Every decision is written to the store first and acted on
+//! when the store has answered; each write is conditional on the one before,
+//! so that nothing of an earlier leader takes effect after a takeover.
+
+mod commit;
+mod ends;
+mod load;
+mod orders;
+mod place;
+mod vm;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use turmeric_schema::v1;
+use turmeric_types::{MonoTime, WallTime};
+
+use crate::{
+    JobCode, JobPhase, JobSpec, JobState, LeaseLimits, PressureTable, QueuePolicy, RunKey,
+};
+use vm::{HeldRun, VmState};
+
+pub use commit::CommitPlan;
+
+/// Times that the platform's contract or its clocks set.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaderTerms {
+    /// Leases of workers.
+    pub lease: LeaseLimits,
+    /// For how long an earlier leader may go on renewing leases without word
+    /// from the store.
+    pub confidence: Duration,
+    /// For how long the state of a job that is over is kept.
+    pub retention: Duration,
+}
+
+/// The leading entry's decisions.
+#[derive(Debug)]
+pub struct JobScheduler {
+    terms: LeaderTerms,
+    epoch: u64,
+    holder: String,
+    address: String,
+    took_over_at: MonoTime,
+    jobs: BTreeMap<JobCode, JobState>,
+    /// Cancelled before the job itself was read.
+    early_cancels: BTreeSet<JobCode>,
+    vms: BTreeMap<String, VmState>,
+    queues: BTreeMap<String, QueuePolicy>,
+    closed_zones: BTreeSet<String>,
+    dirty: BTreeSet<JobCode>,
+    commit_sequence: u64,
+    is_committing: bool,
+    committed_at: MonoTime,
+    order_sequence: u64,
+    /// VMs that have something to be told at once.
+    news: BTreeSet<String>,
+    is_releasing: bool,
+    pressure: PressureTable,
+}
+
+impl JobScheduler {
+    /// Creates the scheduler of an entry that has just taken the lead.
+    pub fn new(
+        terms: LeaderTerms,
+        epoch: u64,
+        holder: String,
+        address: String,
+        now: MonoTime,
+    ) -> Self {
+        Self {
+            terms,
+            epoch,
+            holder,
+            address,
+            took_over_at: now,
+            jobs: BTreeMap::new(),
+            early_cancels: BTreeSet::new(),
+            vms: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            closed_zones: BTreeSet::new(),
+            dirty: BTreeSet::new(),
+            commit_sequence: 0,
+            is_committing: false,
+            committed_at: now,
+            order_sequence: 0,
+            news: BTreeSet::new(),
+            is_releasing: false,
+            pressure: PressureTable::new(),
+        }
+    }
+
+    /// Returns the epoch of this leadership.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the number of jobs that are not over.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs
+            .values()
+            .filter(|job| !job.phase.is_over())
+            .count()
+    }
+
+    /// Returns what is known of a job.
+    pub fn job(&self, code: JobCode) -> Option<&JobState> {
+        self.jobs.get(&code)
+    }
+
+    /// Puts the operators' queues in force.
+    pub fn set_queues(&mut self, queues: BTreeMap<String, QueuePolicy>) {
+        self.queues = queues;
+    }
+
+    /// Puts the zones in force that operators have taken out.
+    pub fn set_closed_zones(&mut self, zones: BTreeSet<String>) {
+        self.closed_zones = zones;
+    }
+
+    /// Gives the lead up with the next commit; nothing is placed any more.
+    pub fn release(&mut self) {
+        self.is_releasing = true;
+    }
+
+    /// Takes in an accepted job. One that is known already changes nothing.
+    pub fn add_job(&mut self, code: JobCode, spec: JobSpec, now: WallTime) {
+        if self.jobs.contains_key(&code) {
+            return;
+        }
+        self.jobs.insert(code, JobState::new(code, spec));
+        if self.early_cancels.remove(&code) {
+            self.cancel_job(code, now);
+        }
+    }
+
+    /// Takes in what an earlier leader recorded of a job.
+    pub fn restore_job(&mut self, code: JobCode, progress: v1::JobProgress) {
+        let Some(job) = self.jobs.get_mut(&code) else {
+            return;
+        };
+        job.restore(code, progress);
+        let placed: Vec<(RunKey, HeldRun)> = job
+            .tasks
+            .iter()
+            .filter_map(|(name, state)| {
+                let place = state.place.clone()?;
+                let step = job.spec.steps.get(name.step as usize)?;
+                let key = RunKey {
+                    task: *name,
+                    run: state.run,
+                };
+                Some((key, HeldRun::recorded(place, step)))
+            })
+            .collect();
+        for (key, held) in placed {
+            let vm = self
+                .vms
+                .entry(held.place.vm.clone())
+                .or_insert_with(|| VmState::new(self.took_over_at));
+            vm.held.insert(key, held);
+        }
+    }
+
+    /// Cancels a job; its attempts are recalled at once.
+    pub fn cancel_job(&mut self, code: JobCode, now: WallTime) {
+        let Some(job) = self.jobs.get(&code) else {
+            self.early_cancels.insert(code);
+            return;
+        };
+        if !job.phase.is_over() {
+            self.finish_job(code, JobPhase::Cancelled, now);
+        }
+    }
+
+    /// Ends a job and recalls what still runs of it.
+    fn finish_job(&mut self, code: JobCode, phase: JobPhase, now: WallTime) {
+        let Some(job) = self.jobs.get_mut(&code) else {
+            return;
+        };
+        job.phase = phase;
+        job.ended_at = Some(now);
+        for state in job.tasks.values_mut() {
+            if let Some(place) = state.place.take() {
+                self.news.insert(place.vm);
+            }
+        }
+        self.touch(code);
+    }
+
+    fn touch(&mut self, code: JobCode) {
+        if let Some(job) = self.jobs.get_mut(&code) {
+            job.touch();
+            self.dirty.insert(code);
+        }
+    }
+
+    /// Returns the VMs that have something to be told, once.
+    pub fn take_news(&mut self) -> BTreeSet<String> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Returns whether the state of a job may be forgotten.
+    fn is_expired(&self, job: &JobState, now: WallTime) -> bool {
+        job.ended_at
+            .is_some_and(|ended| now > ended.after(self.terms.retention))
+    }
+}
--- /dev/null
+++ b/crates/turmeric-jobs/src/scheduler/commit.rs
@@ -0,0 +1,128 @@
+//! Writing decisions to the store, in groups.
+
+use std::time::Duration;
+
+use turmeric_schema::{Message, v1};
+use turmeric_types::{MonoTime, WallTime};
+
+use super::JobScheduler;
+use crate::JobCode;
+
+/// Most jobs in one transaction: the platform takes 100 rows, the leader's own
+/// and three rows of each forgotten job among them.
+const JOB_LIMIT: usize = 60;
+
+/// Most jobs forgotten in one transaction.
+const FORGET_LIMIT: usize = 10;
+
+/// Time between two writes of a leader that has nothing to record; followers
+/// take over after several times as long.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Time between two writes at the least, so that decisions share them.
+const COMMIT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// One transaction: all of it takes effect, or nothing.
+#[derive(Clone, Debug)]
+pub struct CommitPlan {
+    /// Number of this write in the epoch; the leader's row holds it.
+    pub sequence: u64,
+    /// The leader's row.
+    pub leader_row: Vec<u8>,
+    /// Progress rows, by job.
+    pub progress: Vec<(JobCode, Vec<u8>)>,
+    /// Jobs of which every row is removed.
+    pub forgotten: Vec<JobCode>,
+    revisions: Vec<(JobCode, u64)>,
+}
+
+impl JobScheduler {
+    /// Returns when the next write is due at the latest.
+    pub fn commit_due(&self) -> MonoTime {
+        let interval = if self.dirty.is_empty() && !self.is_releasing {
+            HEARTBEAT_INTERVAL
+        } else {
+            COMMIT_INTERVAL
+        };
+        self.committed_at.after(interval)
+    }
+
+    /// Returns the next transaction, if one is due and none is under way.
+    pub fn begin_commit(&mut self, now: MonoTime, wall: WallTime) -> Option<CommitPlan> {
+        if self.is_committing || now < self.commit_due() {
+            return None;
+        }
+        self.is_committing = true;
+        self.commit_sequence += 1;
+        let chosen: Vec<JobCode> = self.dirty.iter().take(JOB_LIMIT).copied().collect();
+        let mut progress = Vec::with_capacity(chosen.len());
+        let mut revisions = Vec::with_capacity(chosen.len());
+        for code in chosen {
+            self.dirty.remove(&code);
+            if let Some(job) = self.jobs.get(&code) {
+                progress.push((code, job.write().encode_to_vec()));
+                revisions.push((code, job.revision));
+            }
+        }
+        let forgotten: Vec<JobCode> = self
+            .jobs
+            .iter()
+            .filter(|(code, job)| self.is_expired(job, wall) && !self.dirty.contains(code))
+            .filter(|(code, _)| !revisions.iter().any(|(written, _)| written == *code))
+            .map(|(code, _)| *code)
+            .take(FORGET_LIMIT)
+            .collect();
+        Some(CommitPlan {
+            sequence: self.commit_sequence,
+            leader_row: self.leader_row(wall).encode_to_vec(),
+            progress,
+            forgotten,
+            revisions,
+        })
+    }
+
+    fn leader_row(&self, wall: WallTime) -> v1::LeaderRow {
+        v1::LeaderRow {
+            epoch: self.epoch,
+            sequence: self.commit_sequence,
+            holder: self.holder.clone(),
+            address: self.address.clone(),
+            released: self.is_releasing,
+            queues: self.queue_loads(wall),
+        }
+    }
+
+    /// Records that the store has taken the transaction.
+    pub fn commit_done(&mut self, plan: &CommitPlan, now: MonoTime) {
+        self.is_committing = false;
+        self.committed_at = now;
+        for (code, revision) in &plan.revisions {
+            if let Some(job) = self.jobs.get_mut(code) {
+                job.recorded = *revision;
+            }
+        }
+        for code in &plan.forgotten {
+            self.jobs.remove(code);
+        }
+        for (name, vm) in &mut self.vms {
+            let before = vm.unrecorded.len();
+            vm.unrecorded.retain(|_, (code, revision)| {
+                self.jobs
+                    .get(code)
+                    .is_some_and(|job| job.recorded < *revision)
+            });
+            let has_starts = vm.held.iter().any(|(key, held)| {
+                held.sent_at.is_none()
+                    && plan.revisions.iter().any(|(code, _)| *code == key.task.job)
+            });
+            if vm.unrecorded.len() < before || has_starts {
+                self.news.insert(name.clone());
+            }
+        }
+    }
+
+    /// Returns when the store last confirmed that this entry leads.
+    pub fn confirmed_at(&self) -> MonoTime {
+        self.committed_at
+    }
+}
--- /dev/null
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -0,0 +1,350 @@
+//! Reports of agents: lives, ends, refusals and lapsed leases.
+
+use std::time::Duration;
+
+use turmeric_types::{MonoTime, WallTime};
+
+use super::JobScheduler;
+use super::vm::{HeldRun, VmState};
+use crate::{EndKind, JobPhase, RunEnd, RunKey, RunPlace, RunStatus, TaskName, VmReport};
+
+/// An attempt whose share of work done has not risen for this long stands
+/// still: with 100 steps to show, a task of 5.4 s shows one every 54 ms.
+const STALL_TERM: Duration = Duration::from_millis(2500);
+
+impl JobScheduler {
+    /// Takes in a report of an agent.
+    pub fn take_report(&mut self, report: VmReport, now: MonoTime, wall: WallTime) {
+        let name = report.vm.clone();
+        let vm = self
+            .vms
+            .entry(name.clone())
+            .or_insert_with(|| VmState::new(now));
+        vm.zone.clone_from(&report.zone);
+        vm.heard_at = now;
+        vm.stamp_millis = report.stamp_millis;
+        vm.is_ready = false;
+        self.news.insert(name.clone());
+        let Some(facts) = report.facts.clone() else {
+            return;
+        };
+        let is_other_life = vm
+            .facts
+            .as_ref()
+            .is_none_or(|known| known.life != facts.life);
+        if is_other_life {
+            if !report.is_synced {
+                return;
+            }
+            vm.begin_life(facts);
+            self.lose_other_lives(&name);
+        } else {
+            vm.facts = Some(facts);
+        }
+        if report.is_over {
+            self.lose_all(&name);
+            return;
+        }
+        if !report.is_synced {
+            return;
+        }
+        for end in &report.ends {
+            self.take_end(&name, end, now, wall);
+        }
+        for key in &report.refused {
+            self.take_refusal(&name, *key);
+        }
+        self.take_runs(&name, &report, now);
+        if let (Some(vm), Some((number, sample))) = (self.vms.get_mut(&name), &report.pressure)
+            && vm.seen_reading != *number
+        {
+            vm.seen_reading = *number;
+            self.pressure.take_sample(sample);
+        }
+        let epoch = self.epoch;
+        if let Some(vm) = self.vms.get_mut(&name) {
+            vm.is_ready = report.epoch == epoch;
+        }
+    }
+
+    /// Takes in one end, once.
+    fn take_end(&mut self, name: &str, end: &RunEnd, now: MonoTime, wall: WallTime) {
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        if end.number <= vm.seen_end {
+            return;
+        }
+        vm.seen_end = end.number;
+        let held = vm.held.remove(&end.key);
+        match end.kind {
+            EndKind::Done => vm.note_outcome(end.key.task.job, true, now),
+            EndKind::Failed => vm.note_outcome(end.key.task.job, false, now),
+            _ => {}
+        }
+        let code = end.key.task.job;
+        if self.apply_end(end, held.as_ref(), wall) {
+            self.touch(code);
+            let revision = self.jobs.get(&code).map_or(0, |job| job.revision);
+            if let Some(vm) = self.vms.get_mut(name) {
+                vm.unrecorded.insert(end.number, (code, revision));
+            }
+        }
+    }
+
+    /// Returns whether the end changed the job.
+    fn apply_end(&mut self, end: &RunEnd, held: Option<&HeldRun>, wall: WallTime) -> bool {
+        let code = end.key.task.job;
+        let Some(job) = self.jobs.get_mut(&code) else {
+            return false;
+        };
+        if job.phase.is_over() {
+            return false;
+        }
+        let Some(step) = job.spec.steps.get(end.key.task.step as usize).cloned() else {
+            return false;
+        };
+        let Some(state) = job.tasks.get_mut(&end.key.task) else {
+            return false;
+        };
+        let is_present = state.run == end.key.run;
+        if is_present {
+            state.place = None;
+        }
+        let saved = Some(&end.checkpoint)
+            .filter(|text| !text.is_empty())
+            .or_else(|| held.map(|held| &held.checkpoint))
+            .filter(|text| !text.is_empty());
+        if let Some(saved) = saved
+            && (is_present || state.checkpoint.is_empty())
+        {
+            state.checkpoint.clone_from(saved);
+        }
+        if step.is_lasting {
+            return true;
+        }
+        match end.kind {
+            EndKind::Done => self.note_done(end.key.task, step.is_gang, wall),
+            EndKind::Failed => self.note_failed(end.key.task, step.is_gang, wall),
+            _ => {}
+        }
+        true
+    }
+
+    /// Marks a task done, and with a gang all of its members.
+    fn note_done(&mut self, task: TaskName, is_gang: bool, wall: WallTime) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let first = TaskName { index: 0, ..task };
+        let last = TaskName {
+            index: u32::MAX,
+            ..task
+        };
+        let members = if is_gang { first..=last } else { task..=task };
+        for (_, state) in job.tasks.range_mut(members) {
+            state.is_done = true;
+            if let Some(place) = state.place.take() {
+                self.news.insert(place.vm);
+            }
+        }
+        if job.tasks.values().all(|state| state.is_done) {
+            self.finish_job(task.job, JobPhase::Done, wall);
+        }
+    }
+
+    /// Counts a failed attempt; the job fails with the last one it may.
+    fn note_failed(&mut self, task: TaskName, is_gang: bool, wall: WallTime) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let limit = job.spec.queue.attempt_limit.max(1);
+        // A gang fails as one; its first member keeps the count.
+        let counted = if is_gang {
+            TaskName { index: 0, ..task }
+        } else {
+            task
+        };
+        let Some(state) = job.tasks.get_mut(&counted) else {
+            return;
+        };
+        state.failures += 1;
+        if state.failures >= limit {
+            self.finish_job(task.job, JobPhase::Failed, wall);
+        }
+    }
+
+    /// Takes back an attempt that the agent will never start.
+    fn take_refusal(&mut self, name: &str, key: RunKey) {
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        if let Some(held) = vm.held.remove(&key) {
+            self.return_task(key, &held);
+        }
+    }
+
+    /// Lets a task wait again whose attempt is surely over.
+    fn return_task(&mut self, key: RunKey, held: &HeldRun) {
+        let Some(job) = self.jobs.get_mut(&key.task.job) else {
+            return;
+        };
+        let Some(state) = job.tasks.get_mut(&key.task) else {
+            return;
+        };
+        if state.run != key.run || state.place.as_ref() != Some(&held.place) {
+            return;
+        }
+        state.place = None;
+        if !held.checkpoint.is_empty() {
+            state.checkpoint.clone_from(&held.checkpoint);
+        }
+        self.touch(key.task.job);
+    }
+
+    fn lose_other_lives(&mut self, name: &str) {
+        self.lose_where(name, |vm, held| !vm.is_life(&held.place));
+    }
+
+    fn lose_all(&mut self, name: &str) {
+        self.lose_where(name, |_, _| true);
+    }
+
+    fn lose_where(&mut self, name: &str, is_lost: impl Fn(&VmState, &HeldRun) -> bool) {
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        let lost: Vec<RunKey> = vm
+            .held
+            .iter()
+            .filter(|(_, held)| is_lost(vm, held))
+            .map(|(key, _)| *key)
+            .collect();
+        vm.reported.clear();
+        let runs: Vec<(RunKey, HeldRun)> = lost
+            .into_iter()
+            .filter_map(|key| vm.held.remove(&key).map(|held| (key, held)))
+            .collect();
+        for (key, held) in runs {
+            self.return_task(key, &held);
+        }
+    }
+
+    /// Compares the runs that an agent listed with what the VM was given.
+    fn take_runs(&mut self, name: &str, report: &VmReport, now: MonoTime) {
+        let reported = report.runs.iter().map(|run| run.key).collect();
+        let unknown: Vec<(RunKey, HeldRun)> = report
+            .runs
+            .iter()
+            .filter(|run| {
+                self.vms
+                    .get(name)
+                    .is_some_and(|vm| !vm.held.contains_key(&run.key))
+            })
+            .filter_map(|run| Some((run.key, self.unknown_run(name, run, now)?)))
+            .collect();
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        vm.reported = reported;
+        vm.held.extend(unknown);
+        for run in &report.runs {
+            if let Some(held) = vm.held.get_mut(&run.key) {
+                held.note_status(run, now);
+            }
+        }
+        // What is wanted no more and the agent has not, is over.
+        let taken = report.taken_orders;
+        let reported = &vm.reported;
+        let gone: Vec<RunKey> = vm
+            .held
+            .iter()
+            .filter(|(key, held)| {
+                !reported.contains(key) && held.dropped_in.is_some_and(|number| taken >= number)
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        let runs: Vec<(RunKey, HeldRun)> = gone
+            .into_iter()
+            .filter_map(|key| vm.held.remove(&key).map(|held| (key, held)))
+            .collect();
+        for (key, held) in runs {
+            self.return_task(key, &held);
+        }
+    }
+
+    /// Accounts for a run that this leader did not order.
+    fn unknown_run(&self, name: &str, run: &RunStatus, now: MonoTime) -> Option<HeldRun> {
+        let vm = self.vms.get(name)?;
+        let life = vm.facts.as_ref()?.life.clone();
+        let place = RunPlace {
+            vm: name.to_owned(),
+            life,
+        };
+        let step = self
+            .jobs
+            .get(&run.key.task.job)
+            .and_then(|job| job.spec.steps.get(run.key.task.step as usize))
+            .cloned()
+            .unwrap_or_default();
+        let mut held = HeldRun::recorded(place, &step);
+        held.note_status(run, now);
+        Some(held)
+    }
+
+    /// Does what is due by time: lapsed leases and attempts that stand still.
+    pub fn tick(&mut self, now: MonoTime) {
+        let wait = self.terms.lease.wait();
+        // An earlier leader may have renewed leases until it lost confidence.
+        let earlier_end = self.took_over_at.after(self.terms.confidence + wait);
+        let silent: Vec<String> = self
+            .vms
+            .iter()
+            .filter(|(_, vm)| {
+                let is_known = vm.stamp_millis > 0;
+                let end = vm.heard_at.after(wait);
+                let end = if is_known { end } else { end.max(earlier_end) };
+                !vm.held.is_empty() && now > end
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in silent {
+            if let Some(vm) = self.vms.get_mut(&name) {
+                vm.is_ready = false;
+            }
+            self.lose_all(&name);
+        }
+        self.recall_stalled(now);
+    }
+
+    /// Recalls attempts that stand still, to go on elsewhere.
+    fn recall_stalled(&mut self, now: MonoTime) {
+        for (name, vm) in &mut self.vms {
+            if !vm.is_ready {
+                continue;
+            }
+            let mut stalled_jobs = Vec::new();
+            for (key, held) in &mut vm.held {
+                let Some(job) = self.jobs.get(&key.task.job) else {
+                    continue;
+                };
+                let is_movable = job
+                    .spec
+                    .steps
+                    .get(key.task.step as usize)
+                    .is_some_and(|step| !step.is_lasting && !step.is_filling && !step.is_gang);
+                let is_stalled =
+                    held.moved_at != MonoTime::default() && now > held.moved_at.after(STALL_TERM);
+                let is_listed = vm.reported.contains(key);
+                if is_movable && is_stalled && is_listed && !held.is_recalled {
+                    held.is_recalled = true;
+                    self.news.insert(name.clone());
+                    stalled_jobs.push(key.task.job);
+                }
+            }
+            for job in stalled_jobs {
+                vm.note_outcome(job, false, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmeric-jobs/src/scheduler/load.rs
@@ -0,0 +1,110 @@
+//! How loaded the queues are, for admission and for callers who ask.
+
+use std::collections::BTreeMap;
+
+use turmeric_schema::v1;
+use turmeric_types::{MonoTime, WallTime};
+
+use super::JobScheduler;
+use crate::{JobPhase, JobState};
+
+#[derive(Default)]
+struct QueueSum {
+    waiting: u32,
+    /// Work of the queue that waits, in core-milliseconds.
+    backlog: u64,
+    priority: u32,
+}
+
+impl JobScheduler {
+    /// Describes the rooms of all VMs, for the log.
+    pub fn describe_rooms(&self, now: MonoTime) -> String {
+        let mut text = String::new();
+        for (name, vm) in &self.vms {
+            match vm.room(name, &self.pressure, now) {
+                Some(room) => text.push_str(&format!(
+                    "{name}: free {} idle {} serving {} filling {} pressure {}; ",
+                    room.free.cores,
+                    room.idle(),
+                    room.serving,
+                    room.filling,
+                    room.pressure
+                )),
+                None => text.push_str(&format!("{name}: takes nothing; ")),
+            }
+        }
+        text
+    }
+
+    /// Returns the load of each queue that has jobs.
+    pub(super) fn queue_loads(&self, wall: WallTime) -> Vec<v1::QueueLoad> {
+        let mut sums: BTreeMap<&str, QueueSum> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| !job.phase.is_over()) {
+            let sum = sums.entry(&job.spec.queue.route).or_default();
+            sum.priority = job.spec.queue.priority;
+            if job.phase == JobPhase::Queued && job.spec.repeat.is_none() {
+                sum.waiting += 1;
+            }
+            sum.backlog += waiting_work(job, wall);
+        }
+        let capacity = self.batch_capacity().max(1);
+        sums.iter()
+            .map(|(route, sum)| {
+                let ahead: u64 = sums
+                    .values()
+                    .filter(|other| other.priority <= sum.priority)
+                    .map(|other| other.backlog)
+                    .sum();
+                v1::QueueLoad {
+                    route: (*route).to_owned(),
+                    waiting: sum.waiting,
+                    delay_millis: ahead * 1000 / capacity,
+                }
+            })
+            .collect()
+    }
+
+    /// Returns the processors that tasks which end can use, in thousandths.
+    fn batch_capacity(&self) -> u64 {
+        self.vms
+            .values()
+            .filter(|vm| vm.is_ready)
+            .filter_map(|vm| {
+                let facts = vm.facts.as_ref()?;
+                let lasting: u64 = vm
+                    .held
+                    .iter()
+                    .filter(|(key, _)| {
+                        self.jobs
+                            .get(&key.task.job)
+                            .is_some_and(|job| job.spec.is_lasting())
+                    })
+                    .map(|(_, held)| held.reserved.cores.as_millicores())
+                    .sum();
+                Some(facts.capacity.cores.as_millicores().saturating_sub(lasting))
+            })
+            .sum()
+    }
+}
+
+/// Returns the work of a job's waiting tasks, in core-milliseconds.
+fn waiting_work(job: &JobState, wall: WallTime) -> u64 {
+    if job.spec.is_lasting() {
+        return 0;
+    }
+    // A repeated job's later occurrences are not work of now.
+    if job
+        .spec
+        .repeat
+        .is_some_and(|repeat| repeat.first_run > wall)
+    {
+        return 0;
+    }
+    job.tasks
+        .iter()
+        .filter(|(_, state)| !state.is_done && state.place.is_none())
+        .filter_map(|(name, _)| job.spec.steps.get(name.step as usize))
+        .filter(|step| !step.is_filling)
+        .map(|step| step.need.cores.as_millicores() * step.estimate.as_millis() as u64 / 1000)
+        .sum()
+}
--- /dev/null
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -0,0 +1,95 @@
+//! Orders to agents.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use turmeric_schema::v1;
+use turmeric_types::MonoTime;
+
+use super::JobScheduler;
+use super::vm::HeldRun;
+use crate::{RunKey, write_key};
+
+/// A start that the agent has not listed is sent again after this time.
+const RESEND_INTERVAL: Duration = Duration::from_millis(900);
+
+impl JobScheduler {
+    /// Builds the orders for a VM.
+    ///
+    /// They state all that may go on there, so that lost orders need no
+    /// bookkeeping. Returns [`None`] for a VM that was never heard.
+    pub fn orders(&mut self, name: &str, now: MonoTime) -> Option<v1::VmOrders> {
+        self.order_sequence += 1;
+        let sequence = self.order_sequence;
+        let keep: BTreeSet<RunKey> = {
+            let vm = self.vms.get(name)?;
+            vm.held
+                .iter()
+                .filter(|(key, held)| self.is_wanted(key, held))
+                .map(|(key, _)| *key)
+                .collect()
+        };
+        let vm = self.vms.get_mut(name)?;
+        let mut starts = Vec::new();
+        for (key, held) in &mut vm.held {
+            if !keep.contains(key) {
+                held.dropped_in.get_or_insert(sequence);
+                continue;
+            }
+            held.dropped_in = None;
+            let is_due = held
+                .sent_at
+                .is_none_or(|sent| now > sent.after(RESEND_INTERVAL));
+            if vm.reported.contains(key) || !is_due {
+                continue;
+            }
+            held.sent_at = Some(now);
+            let Some(job) = self.jobs.get(&key.task.job) else {
+                continue;
+            };
+            let (Some(state), Some(step)) = (
+                job.tasks.get(&key.task),
+                job.spec.steps.get(key.task.step as usize),
+            ) else {
+                continue;
+            };
+            starts.push(v1::StartOrder {
+                key: Some(write_key(key)),
+                text: job.spec.text.clone(),
+                checkpoint: state.checkpoint.clone(),
+                fills: step.is_filling,
+                latency_target_millis: step.latency_target_millis.unwrap_or_default(),
+                image: step.image.clone().unwrap_or_default(),
+            });
+        }
+        let life = vm.facts.as_ref().map(|facts| facts.life.clone());
+        let life = life.unwrap_or_default();
+        Some(v1::VmOrders {
+            epoch: self.epoch,
+            stamp_millis: vm.stamp_millis,
+            endpoint: life.endpoint,
+            born: life.born,
+            starts,
+            keep: keep.iter().map(write_key).collect(),
+            recorded_end: vm.recorded_end(),
+            sequence,
+            light_images: self.pressure.light_images().map(str::to_owned).collect(),
+        })
+    }
+
+    /// Returns whether an attempt may go on: the store knows of it, and its
+    /// task is neither over nor to go on elsewhere.
+    fn is_wanted(&self, key: &RunKey, held: &HeldRun) -> bool {
+        let Some(job) = self.jobs.get(&key.task.job) else {
+            return false;
+        };
+        let Some(state) = job.tasks.get(&key.task) else {
+            return false;
+        };
+        !job.phase.is_over()
+            && !held.is_recalled
+            && job.recorded >= held.revision
+            && state.run == key.run
+            && state.place.as_ref() == Some(&held.place)
+    }
+}
--- /dev/null
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -0,0 +1,261 @@
+//! Giving waiting tasks to VMs.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use turmeric_types::{MonoTime, WallTime};
+
+use super::JobScheduler;
+use super::vm::HeldRun;
+use crate::{
+    JobCode, JobPhase, JobState, JobUrgency, PlacementRequest, RunKey, RunNumber, RunPlace,
+    TaskName, VmRoom, choose_vm, rank_job,
+};
+
+/// A place in the order in which jobs get room.
+type JobRank = (JobUrgency, u32, WallTime);
+
+/// A task and the VM chosen for it.
+struct ChosenPlace {
+    task: TaskName,
+    run: RunNumber,
+    vm: String,
+}
+
+impl JobScheduler {
+    /// Gives waiting tasks to VMs with room; agents learn of it when the store
+    /// knows.
+    ///
+    /// Returns how many tasks were given.
+    pub fn place(&mut self, now: MonoTime, wall: WallTime) -> usize {
+        if self.is_releasing {
+            return 0;
+        }
+        let mut rooms: BTreeMap<String, VmRoom> = self
+            .vms
+            .iter()
+            .filter(|(_, vm)| !self.closed_zones.contains(&vm.zone))
+            .filter_map(|(name, vm)| Some((name.clone(), vm.room(name, &self.pressure, now)?)))
+            .collect();
+        if rooms.is_empty() {
+            return 0;
+        }
+        let mut placed = 0;
+        for code in self.jobs_in_order(wall) {
+            let chosen = self.choose_places(code, &mut rooms, wall);
+            placed += chosen.len();
+            self.give(code, chosen, now);
+        }
+        placed
+    }
+
+    /// Returns the jobs with tasks that wait, the first to get room first.
+    fn jobs_in_order(&self, wall: WallTime) -> Vec<JobCode> {
+        let mut ranked: Vec<(JobRank, JobCode)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.phase.is_over() && has_waiting(job))
+            .map(|(code, job)| {
+                let remaining = job.spec.chain().as_millis() as u64;
+                (rank_job(&job.spec, remaining, wall), *code)
+            })
+            .collect();
+        ranked.sort();
+        ranked.into_iter().map(|(_, code)| code).collect()
+    }
+
+    fn choose_places(
+        &self,
+        code: JobCode,
+        rooms: &mut BTreeMap<String, VmRoom>,
+        wall: WallTime,
+    ) -> Vec<ChosenPlace> {
+        let Some(job) = self.jobs.get(&code) else {
+            return Vec::new();
+        };
+        let service = self
+            .queues
+            .get(&job.spec.queue.route)
+            .map_or(job.spec.queue.service.as_str(), |queue| {
+                queue.service.as_str()
+            });
+        let mut chosen = Vec::new();
+        for occurrence in 0..job.spec.occurrences() {
+            if !is_due(job, occurrence, wall) {
+                break;
+            }
+            for step in 0..job.spec.steps.len() as u32 {
+                chosen.extend(self.choose_step(code, job, service, (occurrence, step), rooms));
+            }
+        }
+        chosen
+    }
+
+    /// Chooses places for the waiting tasks of one step; all or none of a gang.
+    fn choose_step(
+        &self,
+        code: JobCode,
+        job: &JobState,
+        service: &str,
+        (occurrence, number): (u32, u32),
+        rooms: &mut BTreeMap<String, VmRoom>,
+    ) -> Vec<ChosenPlace> {
+        let Some(step) = job.spec.steps.get(number as usize) else {
+            return Vec::new();
+        };
+        let first = TaskName {
+            job: code,
+            occurrence,
+            step: number,
+            index: 0,
+        };
+        let last = TaskName {
+            index: u32::MAX,
+            ..first
+        };
+        let waiting: Vec<TaskName> = job
+            .tasks
+            .range(first..=last)
+            .filter(|(_, state)| !state.is_done && state.place.is_none())
+            .map(|(name, _)| *name)
+            .collect();
+        if waiting.is_empty() || !job.is_ready(&first) {
+            return Vec::new();
+        }
+        // Members of a gang start together, after the last attempt is over.
+        if step.is_gang && waiting.len() < step.count as usize {
+            return Vec::new();
+        }
+        let image = step.image.as_deref().unwrap_or_default();
+        let class = self.pressure.class(image);
+        let request = PlacementRequest {
+            service,
+            step,
+            class,
+        };
+        let before = rooms.clone();
+        let mut chosen: Vec<ChosenPlace> = Vec::new();
+        for task in waiting {
+            let found = choose_vm(&request, rooms.values(), |vm| {
+                let there = self.vms.get(vm).map_or(0, |vm| vm.count_step(&first));
+                there + chosen.iter().filter(|place| place.vm == vm).count() as u32
+            });
+            let Some(found) = found else {
+                break;
+            };
+            let vm = found.vm.clone();
+            if let Some(room) = rooms.get_mut(&vm) {
+                room.add(step, class);
+            }
+            let run = job
+                .tasks
+                .get(&task)
+                .map_or(RunNumber::default(), |state| state.run);
+            chosen.push(ChosenPlace {
+                task,
+                run: run.next(),
+                vm,
+            });
+        }
+        if step.is_gang {
+            if chosen.len() < step.count as usize {
+                *rooms = before;
+                return Vec::new();
+            }
+            let run = chosen
+                .iter()
+                .map(|place| place.run)
+                .max()
+                .unwrap_or_default();
+            for place in &mut chosen {
+                place.run = run;
+            }
+        }
+        chosen
+    }
+
+    /// Records the chosen places; the store learns of them with the next commit.
+    fn give(&mut self, code: JobCode, chosen: Vec<ChosenPlace>, now: MonoTime) {
+        if chosen.is_empty() {
+            return;
+        }
+        self.touch(code);
+        let Some(job) = self.jobs.get_mut(&code) else {
+            return;
+        };
+        if job.phase == JobPhase::Queued {
+            job.phase = JobPhase::Running;
+        }
+        let revision = job.revision;
+        share_checkpoint(job, &chosen);
+        for place in chosen {
+            let Some(vm) = self.vms.get_mut(&place.vm) else {
+                continue;
+            };
+            let (Some(facts), Some(step), Some(state)) = (
+                &vm.facts,
+                job.spec.steps.get(place.task.step as usize),
+                job.tasks.get_mut(&place.task),
+            ) else {
+                continue;
+            };
+            let run_place = RunPlace {
+                vm: place.vm,
+                life: facts.life.clone(),
+            };
+            state.run = place.run;
+            state.place = Some(run_place.clone());
+            let mut held = HeldRun::recorded(run_place, step);
+            held.revision = revision;
+            held.moved_at = now;
+            let key = RunKey {
+                task: place.task,
+                run: place.run,
+            };
+            vm.held.insert(key, held);
+        }
+    }
+}
+
+/// Lets all members of a gang resume from the same checkpoint.
+fn share_checkpoint(job: &mut JobState, chosen: &[ChosenPlace]) {
+    let gangs: BTreeSet<(u32, u32)> = chosen
+        .iter()
+        .filter(|place| {
+            job.spec
+                .steps
+                .get(place.task.step as usize)
+                .is_some_and(|step| step.is_gang)
+        })
+        .map(|place| (place.task.occurrence, place.task.step))
+        .collect();
+    for (occurrence, step) in gangs {
+        let members = chosen
+            .iter()
+            .map(|place| place.task)
+            .filter(|task| (task.occurrence, task.step) == (occurrence, step));
+        let shared = members
+            .clone()
+            .filter_map(|task| job.tasks.get(&task))
+            .map(|state| state.checkpoint.clone())
+            .max()
+            .unwrap_or_default();
+        for task in members {
+            if let Some(state) = job.tasks.get_mut(&task) {
+                state.checkpoint.clone_from(&shared);
+            }
+        }
+    }
+}
+
+fn has_waiting(job: &JobState) -> bool {
+    job.tasks
+        .values()
+        .any(|state| !state.is_done && state.place.is_none())
+}
+
+fn is_due(job: &JobState, occurrence: u32, wall: WallTime) -> bool {
+    job.spec.repeat.is_none_or(|repeat| {
+        let due = repeat.first_run.after(repeat.interval * occurrence);
+        wall >= due
+    })
+}
--- /dev/null
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -0,0 +1,212 @@
+//! What the leader knows of one VM.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use turmeric_types::{CoreCount, MonoTime, ResourceSet};
+
+use crate::{
+    EndpointFacts, JobCode, PressureTable, RunKey, RunPlace, RunStatus, StepSpec, TaskName, VmRoom,
+    pressure_of,
+};
+
+/// A VM whose agent was not heard for this long gets nothing new; agents
+/// report every 400 ms.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
+
+/// Jobs that must fail on a VM, without a success between, before it is
+/// suspected.
+const FAILED_JOB_LIMIT: usize = 2;
+
+/// Time for which a suspected VM gets nothing; after it, one task at a time.
+const SUSPECT_TERM: Duration = Duration::from_secs(3);
+
+/// An attempt that may take room on a VM.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldRun {
+    pub(crate) place: RunPlace,
+    pub(crate) reserved: ResourceSet,
+    pub(crate) is_serving: bool,
+    pub(crate) is_filling: bool,
+    /// Processors that the task wants.
+    pub(crate) cores: CoreCount,
+    pub(crate) image: String,
+    /// Revision of the job from which on the store knows of the attempt.
+    pub(crate) revision: u64,
+    /// The attempt is to end, and its task goes on elsewhere.
+    pub(crate) is_recalled: bool,
+    /// When the start was last sent.
+    pub(crate) sent_at: Option<MonoTime>,
+    /// Number of the first orders without the attempt, once it is not wanted.
+    pub(crate) dropped_in: Option<u64>,
+    pub(crate) percent: u32,
+    /// When the share of work done last rose.
+    pub(crate) moved_at: MonoTime,
+    pub(crate) checkpoint: String,
+}
+
+impl HeldRun {
+    /// Creates an attempt that an earlier leader recorded.
+    pub(crate) fn recorded(place: RunPlace, step: &StepSpec) -> Self {
+        Self {
+            place,
+            reserved: step.reserved(),
+            is_serving: step.latency_target_millis.is_some(),
+            is_filling: step.is_filling,
+            cores: step.need.cores,
+            image: step.image.clone().unwrap_or_default(),
+            revision: 0,
+            is_recalled: false,
+            sent_at: None,
+            dropped_in: None,
+            percent: 0,
+            moved_at: MonoTime::default(),
+            checkpoint: String::new(),
+        }
+    }
+
+    pub(crate) fn note_status(&mut self, status: &RunStatus, now: MonoTime) {
+        if status.percent != self.percent || self.moved_at == MonoTime::default() {
+            self.percent = status.percent;
+            self.moved_at = now;
+        }
+        if !status.checkpoint.is_empty() {
+            self.checkpoint.clone_from(&status.checkpoint);
+        }
+    }
+}
+
+/// What the leader knows of one VM.
+#[derive(Debug)]
+pub(crate) struct VmState {
+    pub(crate) zone: String,
+    pub(crate) facts: Option<EndpointFacts>,
+    /// The agent has heard of this leader and holds the endpoint's present
+    /// life under its own fence.
+    pub(crate) is_ready: bool,
+    pub(crate) heard_at: MonoTime,
+    pub(crate) stamp_millis: u64,
+    pub(crate) held: BTreeMap<RunKey, HeldRun>,
+    /// What the last report listed.
+    pub(crate) reported: BTreeSet<RunKey>,
+    /// Ends whose effect is not in the store yet, with the job's revision.
+    pub(crate) unrecorded: BTreeMap<u64, (JobCode, u64)>,
+    /// Number of the last end that was taken in.
+    pub(crate) seen_end: u64,
+    /// Jobs with a failed attempt here since the last success.
+    /// Number of the last pressure reading that was taken in.
+    pub(crate) seen_reading: u64,
+    failed_jobs: BTreeSet<JobCode>,
+    suspect_until: MonoTime,
+}
+
+impl VmState {
+    pub(crate) fn new(now: MonoTime) -> Self {
+        Self {
+            zone: String::new(),
+            facts: None,
+            is_ready: false,
+            heard_at: now,
+            stamp_millis: 0,
+            held: BTreeMap::new(),
+            reported: BTreeSet::new(),
+            unrecorded: BTreeMap::new(),
+            seen_end: 0,
+            seen_reading: 0,
+            failed_jobs: BTreeSet::new(),
+            suspect_until: MonoTime::default(),
+        }
+    }
+
+    /// Forgets what belonged to an earlier life of the endpoint.
+    pub(crate) fn begin_life(&mut self, facts: EndpointFacts) {
+        self.facts = Some(facts);
+        self.unrecorded.clear();
+        self.seen_end = 0;
+        self.failed_jobs.clear();
+        self.suspect_until = MonoTime::default();
+    }
+
+    pub(crate) fn is_life(&self, place: &RunPlace) -> bool {
+        self.facts
+            .as_ref()
+            .is_some_and(|facts| facts.life == place.life)
+    }
+
+    /// Records how an attempt ended, to tell VMs that fail everything.
+    pub(crate) fn note_outcome(&mut self, job: JobCode, succeeded: bool, now: MonoTime) {
+        if succeeded {
+            self.failed_jobs.clear();
+            self.suspect_until = MonoTime::default();
+            return;
+        }
+        self.failed_jobs.insert(job);
+        if self.failed_jobs.len() >= FAILED_JOB_LIMIT {
+            self.suspect_until = now.after(SUSPECT_TERM);
+        }
+    }
+
+    fn is_suspect(&self) -> bool {
+        self.failed_jobs.len() >= FAILED_JOB_LIMIT
+    }
+
+    /// Returns what the VM offers, or [`None`] while it takes nothing.
+    pub(crate) fn room(&self, name: &str, images: &PressureTable, now: MonoTime) -> Option<VmRoom> {
+        let facts = self.facts.as_ref()?;
+        let is_silent = now > self.heard_at.after(SILENCE_LIMIT);
+        let is_probed = self.is_suspect() && !self.held.is_empty();
+        if !self.is_ready || is_silent || facts.is_draining || now < self.suspect_until || is_probed
+        {
+            return None;
+        }
+        let free = self.held.values().fold(facts.capacity, |free, run| {
+            free.saturating_sub(&run.reserved)
+        });
+        Some(VmRoom {
+            vm: name.to_owned(),
+            service: facts.service.clone(),
+            labels: facts.labels.clone(),
+            rack: facts.rack().map(str::to_owned),
+            free,
+            filled: self.cores_of(|run| run.is_filling),
+            served: self.cores_of(|run| run.is_serving),
+            pressure: self
+                .held
+                .values()
+                .filter(|run| run.is_filling)
+                .map(|run| pressure_of(images.class(&run.image)))
+                .sum(),
+            serving: self.held.values().filter(|run| run.is_serving).count(),
+            filling: self.held.values().filter(|run| run.is_filling).count(),
+            is_suspect: self.is_suspect(),
+        })
+    }
+
+    fn cores_of(&self, is_counted: impl Fn(&HeldRun) -> bool) -> CoreCount {
+        let runs = self.held.values().filter(|run| is_counted(run));
+        CoreCount::from_millicores(runs.map(|run| run.cores.as_millicores()).sum())
+    }
+
+    /// Returns how many attempts of a task's step are here.
+    pub(crate) fn count_step(&self, task: &TaskName) -> u32 {
+        let first = RunKey {
+            task: TaskName { index: 0, ..*task },
+            run: crate::RunNumber::default(),
+        };
+        let last = RunKey {
+            task: TaskName {
+                index: u32::MAX,
+                ..*task
+            },
+            run: crate::RunNumber::new(u64::MAX),
+        };
+        self.held.range(first..=last).count() as u32
+    }
+
+    /// Returns the highest end of which it and all before are in the store.
+    pub(crate) fn recorded_end(&self) -> u64 {
+        self.unrecorded
+            .first_key_value()
+            .map_or(self.seen_end, |(number, _)| number - 1)
+    }
+}
--- /dev/null
+++ b/crates/turmeric-jobs/src/spec.rs
@@ -0,0 +1,314 @@
+//! What a caller asks for: jobs of steps of tasks.
+
+use std::fmt;
+use std::time::Duration;
+
+use turmeric_schema::v1;
+use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, ResourceSet, WallTime};
+
+/// One step of a job: `count` tasks that need the same.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StepSpec {
+    /// Number of tasks.
+    pub count: u32,
+    /// What each task needs.
+    pub need: ResourceSet,
+    /// The caller's rough estimate of a task's run time.
+    pub estimate: Duration,
+    /// Earlier steps whose tasks must all be done first.
+    pub after: Vec<u32>,
+    /// The tasks work only together and end together.
+    pub is_gang: bool,
+    /// The tasks are slow unless they all run in one rack.
+    pub wants_one_rack: bool,
+    /// Label that the VM must carry.
+    pub label: Option<String>,
+    /// Rack where the data lies; tasks are slow elsewhere.
+    pub rack: Option<String>,
+    /// Most tasks of the step on one VM.
+    pub vm_limit: Option<u32>,
+    /// The tasks checkpoint their work.
+    pub checkpoints: bool,
+    /// Copies of a task may run in parallel.
+    pub allows_copies: bool,
+    /// The tasks run until the job is cancelled.
+    pub is_lasting: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    pub image: Option<String>,
+    /// Tail latency that a serving task must keep, in milliseconds.
+    pub latency_target_millis: Option<u64>,
+    /// The tasks use processors that others leave idle, and reserve none.
+    pub is_filling: bool,
+    /// Tasks of a lasting step that may be away at once.
+    pub away_limit: u32,
+}
+
+impl StepSpec {
+    /// Returns what a task of the step takes of its VM's capacity.
+    pub fn reserved(&self) -> ResourceSet {
+        if self.is_filling {
+            ResourceSet {
+                cores: CoreCount::default(),
+                ..self.need
+            }
+        } else {
+            self.need
+        }
+    }
+}
+
+/// When a repeated job is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RepeatPlan {
+    /// When the first occurrence is due.
+    pub first_run: WallTime,
+    /// Time between two occurrences.
+    pub interval: Duration,
+    /// Number of occurrences.
+    pub count: u32,
+}
+
+/// What the operators' configuration says of a queue.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct QueuePolicy {
+    /// Name of the queue.
+    pub route: String,
+    /// Service whose endpoints run the tasks.
+    pub service: String,
+    /// Zero comes first.
+    pub priority: u32,
+    /// Attempts that a task may fail.
+    pub attempt_limit: u32,
+    /// Objective as a multiple of the longest chain of work, in thousandths.
+    pub stretch_permille: u32,
+    /// Time that the objective adds to it.
+    pub objective: Duration,
+}
+
+/// A job as it was accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobSpec {
+    /// The queue and its policy when the job was accepted.
+    pub queue: QueuePolicy,
+    /// When it was accepted, by the clock of the entry.
+    pub accepted_at: WallTime,
+    /// Text that every task is started with.
+    pub text: String,
+    /// The steps, in the caller's order.
+    pub steps: Vec<StepSpec>,
+    /// When the job is due, if it is repeated.
+    pub repeat: Option<RepeatPlan>,
+}
+
+/// Why a job cannot be taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SpecError {
+    /// The job has no task.
+    Empty,
+    /// The job has more tasks than one row of the store can follow.
+    TooManyTasks {
+        /// Tasks of all steps and occurrences.
+        count: u64,
+    },
+    /// A step waits for itself or for a later one.
+    StepOrder {
+        /// The step.
+        step: usize,
+        /// What it waits for.
+        after: u32,
+    },
+    /// A message of the store does not decode.
+    Message {
+        /// What the decoder said.
+        reason: String,
+    },
+}
+
+impl fmt::Display for SpecError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Empty => write!(formatter, "the job has no task; a step has at least one"),
+            Self::TooManyTasks { count } => write!(
+                formatter,
+                "the job has {count} tasks; at most {TASK_LIMIT} fit one job"
+            ),
+            Self::StepOrder { step, after } => write!(
+                formatter,
+                "step {step} waits for step {after}; a step waits only for earlier ones"
+            ),
+            Self::Message { reason } => write!(formatter, "the record does not decode: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for SpecError {}
+
+/// Most tasks of a job: their progress must fit one row of the store (64 KiB).
+pub const TASK_LIMIT: u64 = 600;
+
+impl JobSpec {
+    /// Checks that the job can be carried out at all.
+    ///
+    /// # Errors
+    ///
+    /// See [`SpecError`].
+    pub fn check(&self) -> Result<(), SpecError> {
+        let count = self.occurrences() as u64
+            * self
+                .steps
+                .iter()
+                .map(|step| u64::from(step.count))
+                .sum::<u64>();
+        if count == 0 {
+            return Err(SpecError::Empty);
+        }
+        if count > TASK_LIMIT {
+            return Err(SpecError::TooManyTasks { count });
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            if let Some(after) = step.after.iter().find(|after| **after as usize >= number) {
+                return Err(SpecError::StepOrder {
+                    step: number,
+                    after: *after,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns how often the steps run.
+    pub fn occurrences(&self) -> u32 {
+        self.repeat.map_or(1, |repeat| repeat.count.max(1))
+    }
+
+    /// Returns whether any step lasts until the job is cancelled.
+    pub fn is_lasting(&self) -> bool {
+        self.steps.iter().any(|step| step.is_lasting)
+    }
+
+    /// Returns the estimated length of the longest chain of steps.
+    pub fn chain(&self) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let begin = step
+                .after
+                .iter()
+                .filter_map(|after| ends.get(*after as usize))
+                .max()
+                .copied()
+                .unwrap_or_default();
+            ends.push(begin + step.estimate);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
+    /// Returns the time within which the caller wants the job done.
+    pub fn objective(&self) -> Duration {
+        self.chain() * self.queue.stretch_permille / 1000 + self.queue.objective
+    }
+
+    /// Returns the estimated work, in core-milliseconds.
+    pub fn work(&self) -> u64 {
+        self.steps
+            .iter()
+            .map(|step| {
+                u64::from(step.count)
+                    * step.need.cores.as_millicores()
+                    * step.estimate.as_millis() as u64
+                    / 1000
+            })
+            .sum()
+    }
+
+    /// Writes the job for the store.
+    pub fn write(&self) -> v1::JobIntake {
+        let repeat = self.repeat;
+        v1::JobIntake {
+            route: self.queue.route.clone(),
+            service: self.queue.service.clone(),
+            accepted_at: self.accepted_at.as_millis(),
+            text: self.text.clone(),
+            steps: self.steps.iter().map(write_step).collect(),
+            first_run_at: repeat.map_or(0, |repeat| repeat.first_run.as_millis()),
+            interval_millis: repeat.map_or(0, |repeat| repeat.interval.as_millis() as u64),
+            repetitions: repeat.map_or(0, |repeat| repeat.count),
+            priority: self.queue.priority,
+            attempt_limit: self.queue.attempt_limit,
+            stretch_permille: self.queue.stretch_permille,
+            objective_millis: self.queue.objective.as_millis() as u64,
+        }
+    }
+
+    /// Reads a job from the store.
+    pub fn read(message: v1::JobIntake) -> Self {
+        let repeat = (message.repetitions > 0).then(|| RepeatPlan {
+            first_run: WallTime::from_millis(message.first_run_at),
+            interval: Duration::from_millis(message.interval_millis),
+            count: message.repetitions,
+        });
+        Self {
+            queue: QueuePolicy {
+                route: message.route,
+                service: message.service,
+                priority: message.priority,
+                attempt_limit: message.attempt_limit,
+                stretch_permille: message.stretch_permille,
+                objective: Duration::from_millis(message.objective_millis),
+            },
+            accepted_at: WallTime::from_millis(message.accepted_at),
+            text: message.text,
+            steps: message.steps.into_iter().map(read_step).collect(),
+            repeat,
+        }
+    }
+}
+
+fn write_step(step: &StepSpec) -> v1::StepIntake {
+    v1::StepIntake {
+        count: step.count,
+        millicores: step.need.cores.as_millicores(),
+        memory_bytes: step.need.memory.as_bytes(),
+        accelerators: step.need.accelerators.get(),
+        estimate_millis: step.estimate.as_millis() as u64,
+        after: step.after.clone(),
+        gang: step.is_gang,
+        same_rack: step.wants_one_rack,
+        label: step.label.clone().unwrap_or_default(),
+        rack: step.rack.clone().unwrap_or_default(),
+        vm_limit: step.vm_limit.unwrap_or_default(),
+        checkpoints: step.checkpoints,
+        copies: step.allows_copies,
+        lasting: step.is_lasting,
+        image: step.image.clone().unwrap_or_default(),
+        latency_target_millis: step.latency_target_millis.unwrap_or_default(),
+        fills: step.is_filling,
+        away_limit: step.away_limit,
+    }
+}
+
+fn read_step(step: v1::StepIntake) -> StepSpec {
+    let text = |text: String| (!text.is_empty()).then_some(text);
+    StepSpec {
+        count: step.count,
+        need: ResourceSet::new(
+            CoreCount::from_millicores(step.millicores),
+            MemorySize::new(step.memory_bytes),
+            AcceleratorCount::new(step.accelerators),
+        ),
+        estimate: Duration::from_millis(step.estimate_millis),
+        after: step.after,
+        is_gang: step.gang,
+        wants_one_rack: step.same_rack,
+        label: text(step.label),
+        rack: text(step.rack),
+        vm_limit: (step.vm_limit > 0).then_some(step.vm_limit),
+        checkpoints: step.checkpoints,
+        allows_copies: step.copies,
+        is_lasting: step.lasting,
+        image: text(step.image),
+        latency_target_millis: (step.latency_target_millis > 0)
+            .then_some(step.latency_target_millis),
+        is_filling: step.fills,
+        away_limit: step.away_limit,
+    }
+}
--- a/crates/turmeric-schemagen/src/main.rs
+++ b/crates/turmeric-schemagen/src/main.rs
@@ -8,7 +8,7 @@
 
 use eyre::{Result, WrapErr, ensure};
 
-const PROTO_FILES: [&str; 2] = ["control.proto", "record.proto"];
+const PROTO_FILES: [&str; 3] = ["control.proto", "job.proto", "record.proto"];
 const GENERATED_FILE: &str = "turmeric.v1.rs";
 
 fn main() -> Result<()> {
