--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -1,13 +1,13 @@
 //! The agent's calls to its worker.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use spdlog::{info, warn};
 use turmeric_jobs::{
     ClockReading, EndpointFacts, EndpointLife, LeaseLimits, PaceSample, PressureSample, RunCall,
-    RunKey, StartAnswer, StopAnswer, WorkerLists,
+    RunKey, StartAnswer, StopAnswer, WorkerLists, load_of,
 };
 use turmeric_platform::{HoldAnswer, HoldRequest, WorkerAnswer, WorkerRun};
 use turmeric_types::MonoTime;
@@ -200,15 +200,44 @@
             return Vec::new();
         }
         self.paced_at = now;
-        let mut worst = None;
-        let mut pressing = Vec::new();
-        let mut images = BTreeSet::new();
+        let readings = self.read_neighbours(running);
+        self.note_pressure(&readings);
+        let did_slow_light = self.pace.slows_light();
+        let change = self.pace.take_worst(readings.worst_permille());
+        let mut paced = Vec::new();
+        // A call that was carried out late may have set another share.
+        let percent = self.pace.percent();
+        if change.is_some() || percent < 100 {
+            paced.extend(readings.pressing.iter().map(|key| (*key, percent)));
+        }
+        let slows_light = self.pace.slows_light();
+        if slows_light || did_slow_light {
+            let percent = if slows_light { 0 } else { 100 };
+            paced.extend(readings.light.iter().map(|key| (*key, percent)));
+        }
+        paced
+    }
+
+    fn read_neighbours(&self, running: &[WorkerRun]) -> NeighbourReadings {
+        let mut readings = NeighbourReadings::default();
         for (key, plan) in self.table.plans() {
             if plan.is_filling {
-                images.insert(plan.image.clone());
-                if !self.table.is_light(&plan.image) {
-                    pressing.push(*key);
-                }
+                let is_light = self.table.is_light(&plan.image);
+                let percent = if !is_light {
+                    self.pace.percent()
+                } else if self.pace.slows_light() {
+                    0
+                } else {
+                    100
+                };
+                let cores = plan.cores.as_millicores() * u64::from(percent) / 100;
+                *readings.filled.entry(plan.image.clone()).or_default() += cores;
+                let group = if is_light {
+                    &mut readings.light
+                } else {
+                    &mut readings.pressing
+                };
+                group.push(*key);
                 continue;
             }
             let run = running.iter().find(|run| run.status.key == *key);
@@ -219,28 +248,49 @@
                     tail_millis,
                     target_millis,
                 };
-                worst = worst.max(Some(sample.permille()));
+                readings.tails.push(sample.permille());
             }
         }
-        let was_full = self.pace.percent() == 100;
-        let change = self.pace.take_worst(worst.unwrap_or(0));
-        if let Some(worst) = worst
-            && was_full
-            && !images.is_empty()
-        {
-            let number = self.pressure.as_ref().map_or(0, |(number, _)| *number);
-            let sample = PressureSample {
-                worst_permille: worst.min(u64::from(u32::MAX)) as u32,
-                images: images.into_iter().collect(),
-            };
-            self.pressure = Some((number + 1, sample));
-        }
-        // A call that was carried out late may have set another share.
-        if change.is_none() && self.pace.percent() == 100 {
-            return Vec::new();
+        readings
+    }
+
+    /// Keeps a reading for the leader, if tasks fill and serve.
+    fn note_pressure(&mut self, readings: &NeighbourReadings) {
+        let capacity = self
+            .table
+            .facts()
+            .map_or(0, |facts| facts.capacity.cores.as_millicores());
+        if readings.tails.is_empty() || readings.filled.is_empty() || capacity == 0 {
+            return;
         }
-        let percent = self.pace.percent();
-        pressing.into_iter().map(|key| (key, percent)).collect()
+        let number = self.pressure.as_ref().map_or(0, |(number, _)| *number);
+        let load: f64 = readings.tails.iter().map(|tail| load_of(*tail)).sum();
+        let sample = PressureSample {
+            load_permille: (load * 1000.0 / readings.tails.len() as f64) as u32,
+            images: readings
+                .filled
+                .iter()
+                .map(|(image, cores)| (image.clone(), (cores * 1000 / capacity) as u32))
+                .collect(),
+        };
+        self.pressure = Some((number + 1, sample));
+    }
+}
+
+/// What the tasks of a VM do to each other.
+#[derive(Default)]
+struct NeighbourReadings {
+    /// Tail latencies of serving tasks, in thousandths of their targets.
+    tails: Vec<u64>,
+    /// Processors with which each image fills, in thousandths of a core.
+    filled: BTreeMap<String, u64>,
+    pressing: Vec<RunKey>,
+    light: Vec<RunKey>,
+}
+
+impl NeighbourReadings {
+    fn worst_permille(&self) -> u64 {
+        self.tails.iter().copied().max().unwrap_or(0)
     }
 }
 
--- a/crates/turmeric-jobs/src/pace.rs
+++ b/crates/turmeric-jobs/src/pace.rs
@@ -40,15 +40,24 @@
     pub percent: u32,
 }
 
+/// Readings over the target, with all that presses standing still, after which
+/// the images that are held for light are slowed as well.
+const DOUBT_LIMIT: u32 = 2;
+
 /// The share at which filling tasks of one VM work.
 #[derive(Clone, Copy, Debug)]
 pub struct PaceControl {
     percent: u32,
+    /// Readings in a row over the target although all that presses stood still.
+    doubts: u32,
 }
 
 impl Default for PaceControl {
     fn default() -> Self {
-        Self { percent: 100 }
+        Self {
+            percent: 100,
+            doubts: 0,
+        }
     }
 }
 
@@ -58,6 +67,11 @@
         self.percent
     }
 
+    /// Returns whether the images that are held for light are slowed as well.
+    pub fn slows_light(&self) -> bool {
+        self.doubts >= DOUBT_LIMIT
+    }
+
     /// Takes in the worst reading of the VM's serving tasks, in thousandths of
     /// the target.
     ///
@@ -73,6 +87,11 @@
         } else {
             self.percent
         };
+        if worst > 1000 && self.percent == 0 {
+            self.doubts += 1;
+        } else if worst < SPEED_UP_PERMILLE {
+            self.doubts = 0;
+        }
         let has_changed = percent != self.percent;
         self.percent = percent;
         has_changed.then_some(PaceChange { percent })
--- a/crates/turmeric-jobs/src/placement.rs
+++ b/crates/turmeric-jobs/src/placement.rs
@@ -8,7 +8,8 @@
 
 use turmeric_types::{CoreCount, ResourceSet};
 
-use crate::{PressureClass, StepSpec};
+use crate::StepSpec;
+use crate::pressure::SERVING_LOAD;
 
 /// What a VM offers at this moment.
 #[derive(Clone, Debug)]
@@ -29,8 +30,10 @@
     pub served: CoreCount,
     /// Tasks on it that serve their own users.
     pub serving: usize,
-    /// Pressure of the filling tasks there, in thousandths of one that presses.
-    pub pressure: u32,
+    /// Load that the filling tasks there add to serving ones.
+    pub pressure: f64,
+    /// All processors of the VM.
+    pub cores: CoreCount,
     /// Tasks on it that fill.
     pub filling: usize,
     /// The VM failed tasks of several jobs lately.
@@ -41,17 +44,13 @@
 /// the load that they have on the published deployments (45%).
 const SERVING_IDLE_PERMILLE: u64 = 450;
 
-/// Pressure that the serving tasks of a VM bear, in thousandths of one task
-/// that presses.
-const PRESSURE_LIMIT: u32 = 1300;
+/// Load up to which filling tasks bring the serving tasks of a VM on average:
+/// a target of five times the idle tail latency is reached at 0.8, and the
+/// load swings.
+const LOAD_LIMIT: f64 = 0.70;
 
-/// Returns the pressure of one task, in thousandths of one that presses.
-pub fn pressure_of(class: PressureClass) -> u32 {
-    match class {
-        PressureClass::Light => 150,
-        PressureClass::Unknown | PressureClass::Pressing => 1000,
-    }
-}
+/// Gain below which a filling task is as good beside serving tasks as anywhere.
+const LIGHT_GAIN: f64 = 0.5;
 
 /// What a task asks for.
 #[derive(Clone, Copy, Debug)]
@@ -60,8 +59,11 @@
     pub service: &'a str,
     /// The task's step.
     pub step: &'a StepSpec,
-    /// What is known of its image.
-    pub class: PressureClass,
+    /// Load that its image adds with all processors of a VM.
+    pub gain: f64,
+    /// Nothing of the job runs, and it has waited long enough to press on
+    /// others; it is paced then.
+    pub is_starved: bool,
 }
 
 impl VmRoom {
@@ -72,8 +74,13 @@
         CoreCount::from_millicores(free.saturating_sub(self.filled.as_millicores()))
     }
 
+    /// Returns what `cores` are of all processors of the VM.
+    pub fn share(&self, cores: CoreCount) -> f64 {
+        cores.as_millicores() as f64 / self.cores.as_millicores().max(1) as f64
+    }
+
     /// Takes a task of a step into account.
-    pub fn add(&mut self, step: &StepSpec, class: PressureClass) {
+    pub fn add(&mut self, step: &StepSpec, gain: f64) {
         self.free = self.free.saturating_sub(&step.reserved());
         if step.latency_target_millis.is_some() {
             self.serving += 1;
@@ -82,7 +89,7 @@
         }
         if step.is_filling {
             self.filling += 1;
-            self.pressure += pressure_of(class);
+            self.pressure += gain * self.share(step.need.cores);
             let filled = self.filled.as_millicores() + step.need.cores.as_millicores();
             self.filled = CoreCount::from_millicores(filled);
         }
@@ -107,8 +114,9 @@
     /// Returns whether a filling task would find idle processors there and
     /// disturb nobody.
     fn fills_in(&self, room: &VmRoom) -> bool {
-        let is_bearable =
-            room.serving == 0 || room.pressure + pressure_of(self.class) <= PRESSURE_LIMIT;
+        let added = self.gain * room.share(self.step.need.cores);
+        let load = SERVING_LOAD + room.pressure + added;
+        let is_bearable = room.serving == 0 || self.is_starved || load <= LOAD_LIMIT;
         is_bearable && self.step.need.cores <= room.idle()
     }
 
@@ -138,7 +146,7 @@
             } else if request.step.is_filling {
                 // What presses goes where nothing serves, what does not stays away
                 // from there.
-                let is_light = request.class == PressureClass::Light;
+                let is_light = request.gain < LIGHT_GAIN;
                 let is_misplaced = is_light == (room.serving == 0);
                 (
                     is_misplaced,
--- a/crates/turmeric-jobs/src/pressure.rs
+++ b/crates/turmeric-jobs/src/pressure.rs
@@ -1,73 +1,62 @@
-//! Which images press on the serving tasks beside them.
+//! How much the filling tasks of an image press on the serving tasks beside
+//! them.
 //!
 //! Load pattern: filling tasks of several images come and go beside serving
-//! tasks; some images multiply the tail latency, others leave it alone. Which
-//! ones is told by the coarse readings of all VMs together, within a few
-//! seconds of an image's first task.
+//! tasks whose own load swings; some images multiply the tail latency, others
+//! leave it alone. A running regression over the coarse readings of all VMs
+//! tells them apart within a few seconds, whatever else runs beside them.
 
 use std::collections::BTreeMap;
 
-/// Readings over the target after which an image counts as pressing.
-const BAD_LIMIT: u32 = 2;
+/// Tail latency of an idle serving task as a share of its target: the targets
+/// of the published deployments are five times that.
+const IDLE_SHARE: f64 = 0.2;
 
-/// Readings within the target after which an image counts as light.
-const GOOD_LIMIT: u32 = 8;
+/// Mean load of serving tasks by themselves on the published deployments.
+pub(crate) const SERVING_LOAD: f64 = 0.45;
 
-/// Of the readings beside a light image at most this share is over the target,
-/// in thousandths; serving tasks alone are over it in less than 20.
-const BAD_PERMILLE: u32 = 60;
+/// Load that an image adds with all processors of a VM, before it was seen.
+/// Cautious: images that press were seen to add 1.3 to 2.
+const GAIN_PRIOR: f64 = 1.0;
 
-/// Evidence is halved at this many readings, so that a changed image is seen.
-const EVIDENCE_LIMIT: u32 = 400;
+/// Bounds of what an image can be held to add.
+const GAIN_BOUNDS: (f64, f64) = (0.0, 3.0);
 
-/// Tail latency within which a reading speaks for an image, in thousandths of
-/// the target.
-const GOOD_PERMILLE: u32 = 850;
+/// Part of the error that one reading corrects. The load swings by a half with
+/// a period of 14 to 20 s, and eleven VMs give 22 readings a second.
+const LEARNING_RATE: f64 = 0.06;
 
-/// What the readings say of an image.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum PressureClass {
-    /// Leaves the tasks beside it alone.
-    Light,
-    /// Not seen often enough.
-    Unknown,
-    /// Presses on the tasks beside it.
-    Pressing,
-}
+/// Keeps readings with little filling work from counting for much; the square
+/// of a share of 0.14, which one filling task has.
+const SHARE_FLOOR: f64 = 0.02;
+
+/// Below this gain an image is light: even a VM full of it adds less than the
+/// swing of the serving load.
+const LIGHT_GAIN: f64 = 0.35;
 
 /// One reading of a VM on which tasks fill and serve.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PressureSample {
-    /// Worst tail latency of a serving task, in thousandths of its target.
-    pub worst_permille: u32,
-    /// Images that filled at full speed all the while.
-    pub images: Vec<String>,
+    /// Mean load of the serving tasks, by their tail latencies, in thousandths.
+    pub load_permille: u32,
+    /// Processors with which each image filled, in thousandths of the VM's.
+    pub images: BTreeMap<String, u32>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct ImageEvidence {
-    good: u32,
-    bad: u32,
-}
-
-impl ImageEvidence {
-    fn class(self) -> PressureClass {
-        let total = self.good + self.bad;
-        let is_bad = self.bad * 1000 > total * BAD_PERMILLE;
-        if is_bad && self.bad >= BAD_LIMIT {
-            PressureClass::Pressing
-        } else if !is_bad && self.good >= GOOD_LIMIT {
-            PressureClass::Light
-        } else {
-            PressureClass::Unknown
-        }
+/// Returns the load of a serving task whose tail latency is `permille`
+/// thousandths of its target; the tail grows as one over the idle share.
+pub fn load_of(permille: u64) -> f64 {
+    let ratio = permille as f64 / 1000.0;
+    if ratio <= IDLE_SHARE {
+        return 0.0;
     }
+    1.0 - IDLE_SHARE / ratio
 }
 
-/// Which images press on the serving tasks beside them.
+/// How much the filling tasks of each image press.
 #[derive(Clone, Debug, Default)]
 pub struct PressureTable {
-    images: BTreeMap<String, ImageEvidence>,
+    gains: BTreeMap<String, f64>,
 }
 
 impl PressureTable {
@@ -76,44 +65,46 @@
         Self::default()
     }
 
+    /// Returns the load that an image adds with all processors of a VM.
+    pub fn gain(&self, image: &str) -> f64 {
+        self.gains.get(image).copied().unwrap_or(GAIN_PRIOR)
+    }
+
     /// Takes in a reading.
     pub fn take_sample(&mut self, sample: &PressureSample) {
-        let is_bad = sample.worst_permille > 1000;
-        if !is_bad && sample.worst_permille > GOOD_PERMILLE {
-            return;
-        }
-        // Where an image is known to press, the others are not to blame.
-        let has_culprit = sample
+        let shares: Vec<(&String, f64)> = sample
             .images
             .iter()
-            .any(|image| self.class(image) == PressureClass::Pressing);
-        for image in &sample.images {
-            let is_blamed = !has_culprit || self.class(image) == PressureClass::Pressing;
-            let evidence = self.images.entry(image.clone()).or_default();
-            if !is_bad {
-                evidence.good += 1;
-            } else if is_blamed {
-                evidence.bad += 1;
-            }
-            if evidence.good + evidence.bad > EVIDENCE_LIMIT {
-                evidence.good /= 2;
-                evidence.bad /= 2;
-            }
+            .map(|(image, permille)| (image, f64::from(*permille) / 1000.0))
+            .collect();
+        let expected: f64 = shares
+            .iter()
+            .map(|(image, share)| self.gain(image) * share)
+            .sum();
+        let square: f64 = shares.iter().map(|(_, share)| share * share).sum();
+        let seen = f64::from(sample.load_permille) / 1000.0 - SERVING_LOAD;
+        let correction = LEARNING_RATE * (seen - expected) / (SHARE_FLOOR + square);
+        for (image, share) in shares {
+            let gain = self.gain(image) + correction * share;
+            self.gains
+                .insert(image.clone(), gain.clamp(GAIN_BOUNDS.0, GAIN_BOUNDS.1));
         }
     }
 
-    /// Returns what the readings say of an image.
-    pub fn class(&self, image: &str) -> PressureClass {
-        self.images
-            .get(image)
-            .map_or(PressureClass::Unknown, |evidence| evidence.class())
+    /// Describes the gains, for the log.
+    pub fn describe(&self) -> String {
+        let gains = self
+            .gains
+            .iter()
+            .map(|(image, gain)| format!("{image} {gain:.2}"));
+        gains.collect::<Vec<_>>().join(", ")
     }
 
     /// Returns the images that leave the tasks beside them alone.
     pub fn light_images(&self) -> impl Iterator<Item = &str> {
-        self.images
+        self.gains
             .iter()
-            .filter(|(_, evidence)| evidence.class() == PressureClass::Light)
+            .filter(|(_, gain)| **gain < LIGHT_GAIN)
             .map(|(image, _)| image.as_str())
     }
 }
--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -247,15 +247,15 @@
 fn write_pressure((number, sample): &(u64, PressureSample)) -> v1::PressureReading {
     v1::PressureReading {
         number: *number,
-        worst_permille: sample.worst_permille,
-        images: sample.images.clone(),
+        load_permille: sample.load_permille,
+        images: sample.images.clone().into_iter().collect(),
     }
 }
 
 fn read_pressure(message: v1::PressureReading) -> (u64, PressureSample) {
     let sample = PressureSample {
-        worst_permille: message.worst_permille,
-        images: message.images,
+        load_permille: message.load_permille,
+        images: message.images.into_iter().collect(),
     };
     (message.number, sample)
 }
--- a/crates/turmeric-jobs/src/runs.rs
+++ b/crates/turmeric-jobs/src/runs.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use turmeric_schema::v1;
-use turmeric_types::MonoTime;
+use turmeric_types::{CoreCount, MonoTime};
 
 use crate::{
     EndpointFacts, EndpointLife, LeaseGrant, NameError, RunEnd, RunKey, RunStatus, VmReport,
@@ -38,6 +38,8 @@
     pub latency_target_millis: Option<u64>,
     /// What the task runs; empty if that is not told.
     pub image: String,
+    /// Processors that it wants.
+    pub cores: CoreCount,
 }
 
 /// A call to make to the worker.
@@ -506,5 +508,6 @@
         latency_target_millis: (order.latency_target_millis > 0)
             .then_some(order.latency_target_millis),
         image: order.image.clone(),
+        cores: CoreCount::from_millicores(order.millicores),
     })
 }
--- a/crates/turmeric-jobs/src/scheduler/load.rs
+++ b/crates/turmeric-jobs/src/scheduler/load.rs
@@ -23,7 +23,7 @@
         for (name, vm) in &self.vms {
             match vm.room(name, &self.pressure, now) {
                 Some(room) => text.push_str(&format!(
-                    "{name}: free {} idle {} serving {} filling {} pressure {}; ",
+                    "{name}: free {} idle {} serving {} filling {} pressure {:.2}; ",
                     room.free.cores,
                     room.idle(),
                     room.serving,
@@ -33,6 +33,7 @@
                 None => text.push_str(&format!("{name}: takes nothing; ")),
             }
         }
+        text.push_str(&self.pressure.describe());
         text
     }
 
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -60,6 +60,7 @@
                 fills: step.is_filling,
                 latency_target_millis: step.latency_target_millis.unwrap_or_default(),
                 image: step.image.clone().unwrap_or_default(),
+                millicores: step.need.cores.as_millicores(),
             });
         }
         let life = vm.facts.as_ref().map(|facts| facts.life.clone());
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -1,6 +1,7 @@
 //! Giving waiting tasks to VMs.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use turmeric_types::{MonoTime, WallTime};
 
@@ -11,6 +12,10 @@
     TaskName, VmRoom, choose_vm, rank_job,
 };
 
+/// A job of which nothing runs for this long may press on serving tasks; the
+/// users' bound for work that has room is 3 s.
+const STARVED_TERM: Duration = Duration::from_millis(2000);
+
 /// A place in the order in which jobs get room.
 type JobRank = (JobUrgency, u32, WallTime);
 
@@ -84,7 +89,14 @@
                 break;
             }
             for step in 0..job.spec.steps.len() as u32 {
-                chosen.extend(self.choose_step(code, job, service, (occurrence, step), rooms));
+                chosen.extend(self.choose_step(
+                    code,
+                    job,
+                    service,
+                    (occurrence, step),
+                    rooms,
+                    wall,
+                ));
             }
         }
         chosen
@@ -98,6 +110,7 @@
         service: &str,
         (occurrence, number): (u32, u32),
         rooms: &mut BTreeMap<String, VmRoom>,
+        wall: WallTime,
     ) -> Vec<ChosenPlace> {
         let Some(step) = job.spec.steps.get(number as usize) else {
             return Vec::new();
@@ -126,25 +139,36 @@
             return Vec::new();
         }
         let image = step.image.as_deref().unwrap_or_default();
-        let class = self.pressure.class(image);
+        let gain = self.pressure.gain(image);
         let request = PlacementRequest {
             service,
             step,
-            class,
+            gain,
+            is_starved: false,
         };
+        let is_idle = job.tasks.values().all(|state| state.place.is_none());
+        let is_starved = is_idle && wall > job.spec.accepted_at.after(STARVED_TERM);
         let before = rooms.clone();
         let mut chosen: Vec<ChosenPlace> = Vec::new();
         for task in waiting {
-            let found = choose_vm(&request, rooms.values(), |vm| {
+            let placed = |vm: &str| {
                 let there = self.vms.get(vm).map_or(0, |vm| vm.count_step(&first));
                 there + chosen.iter().filter(|place| place.vm == vm).count() as u32
+            };
+            let found = choose_vm(&request, rooms.values(), placed).or_else(|| {
+                let starved = PlacementRequest {
+                    is_starved: true,
+                    ..request
+                };
+                let is_alone = is_starved && chosen.is_empty();
+                is_alone.then(|| choose_vm(&starved, rooms.values(), placed))?
             });
             let Some(found) = found else {
                 break;
             };
             let vm = found.vm.clone();
             if let Some(room) = rooms.get_mut(&vm) {
-                room.add(step, class);
+                room.add(step, gain);
             }
             let run = job
                 .tasks
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -7,7 +7,6 @@
 
 use crate::{
     EndpointFacts, JobCode, PressureTable, RunKey, RunPlace, RunStatus, StepSpec, TaskName, VmRoom,
-    pressure_of,
 };
 
 /// A VM whose agent was not heard for this long gets nothing new; agents
@@ -170,18 +169,23 @@
             free,
             filled: self.cores_of(|run| run.is_filling),
             served: self.cores_of(|run| run.is_serving),
-            pressure: self
-                .held
-                .values()
-                .filter(|run| run.is_filling)
-                .map(|run| pressure_of(images.class(&run.image)))
-                .sum(),
+            pressure: self.pressure(images, facts.capacity.cores),
+            cores: facts.capacity.cores,
             serving: self.held.values().filter(|run| run.is_serving).count(),
             filling: self.held.values().filter(|run| run.is_filling).count(),
             is_suspect: self.is_suspect(),
         })
     }
 
+    /// Returns the load that the filling tasks add to serving ones.
+    fn pressure(&self, images: &PressureTable, capacity: CoreCount) -> f64 {
+        let filling = self.held.values().filter(|run| run.is_filling);
+        let pressing: f64 = filling
+            .map(|run| images.gain(&run.image) * run.cores.as_millicores() as f64)
+            .sum();
+        pressing / capacity.as_millicores().max(1) as f64
+    }
+
     fn cores_of(&self, is_counted: impl Fn(&HeldRun) -> bool) -> CoreCount {
         let runs = self.held.values().filter(|run| is_counted(run));
         CoreCount::from_millicores(runs.map(|run| run.cores.as_millicores()).sum())
