--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -1,5 +1,6 @@
 //! An agent on the users' platform.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -7,7 +8,7 @@
 use eyre::{Result, eyre};
 use spdlog::{info, warn};
 use tokio::sync::Notify;
-use turmeric_jobs::{EndpointLife, PaceControl, PressureSample, RunTable, VmReport};
+use turmeric_jobs::{EndpointLife, PaceControl, PressureSample, RunKey, RunTable, VmReport};
 use turmeric_platform::{BootSettings, CallClient, RegistryPing, StoreClient, WorkerCalls};
 use turmeric_schema::v1;
 use turmeric_types::{MonoTime, SplitRandom};
@@ -54,7 +55,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct AgentCore {
     pub(crate) table: RunTable,
-    pub(crate) pace: PaceControl,
+    /// How fast filling tasks work, by the serving image that bears it.
+    pub(crate) paces: BTreeMap<String, PaceControl>,
+    /// Shares other than the full one that were last ordered, in percent.
+    pub(crate) paced: BTreeMap<RunKey, u32>,
     /// When readings were last taken in.
     pub(crate) paced_at: MonoTime,
     /// Newest reading of serving tasks beside filling ones, with its number.
@@ -118,7 +122,8 @@
 impl AgentCore {
     /// Forgets what belonged to an earlier life of the endpoint.
     pub(crate) fn begin_life(&mut self) {
-        self.pace = PaceControl::default();
+        self.paces.clear();
+        self.paced.clear();
         self.pressure = None;
         self.reading = None;
         self.deadline_millis = 0;
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -6,8 +6,8 @@
 
 use spdlog::{info, warn};
 use turmeric_jobs::{
-    ClockReading, EndpointFacts, EndpointLife, LeaseLimits, PaceSample, PressureSample, RunCall,
-    RunKey, StartAnswer, StopAnswer, WorkerLists, load_of,
+    ClockReading, EndpointFacts, EndpointLife, ImagePair, LeaseLimits, PaceSample, PressureSample,
+    RunCall, RunKey, StartAnswer, StopAnswer, WorkerLists, load_of,
 };
 use turmeric_platform::{HoldAnswer, HoldRequest, WorkerAnswer, WorkerRun};
 use turmeric_types::MonoTime;
@@ -202,42 +202,56 @@
         self.paced_at = now;
         let readings = self.read_neighbours(running);
         self.note_pressure(&readings);
-        let did_slow_light = self.pace.slows_light();
-        let change = self.pace.take_worst(readings.worst_permille());
-        let mut paced = Vec::new();
-        // A call that was carried out late may have set another share.
-        let percent = self.pace.percent();
-        if change.is_some() || percent < 100 {
-            paced.extend(readings.pressing.iter().map(|key| (*key, percent)));
-        }
-        let slows_light = self.pace.slows_light();
-        if slows_light || did_slow_light {
-            let percent = if slows_light { 0 } else { 100 };
-            paced.extend(readings.light.iter().map(|key| (*key, percent)));
+        self.paces
+            .retain(|image, _| readings.tails.contains_key(image));
+        for (image, tails) in &readings.tails {
+            let worst = tails.iter().copied().max().unwrap_or(0);
+            let control = self.paces.entry(image.clone()).or_default();
+            control.take_worst(worst);
         }
+        let shares: BTreeMap<RunKey, u32> = self
+            .table
+            .plans()
+            .filter(|(_, plan)| plan.is_filling)
+            .map(|(key, plan)| (*key, self.share_of(&plan.image)))
+            .collect();
+        // A call that was carried out late may have set another share, so those
+        // below the full one are set anew each time.
+        let paced = shares
+            .iter()
+            .filter(|(key, share)| **share < 100 || self.paced.contains_key(key))
+            .map(|(key, share)| (*key, *share))
+            .collect();
+        self.paced = shares
+            .into_iter()
+            .filter(|(_, share)| *share < 100)
+            .collect();
         paced
     }
 
+    /// Returns the share at which tasks of a filling image work, in percent.
+    fn share_of(&self, filling: &str) -> u32 {
+        let shares = self.paces.iter().map(|(serving, control)| {
+            let pair = ImagePair {
+                filling: filling.to_owned(),
+                serving: serving.clone(),
+            };
+            match (self.table.is_light(&pair), control.slows_light()) {
+                (false, _) => control.percent(),
+                (true, true) => 0,
+                (true, false) => 100,
+            }
+        });
+        shares.min().unwrap_or(100)
+    }
+
     fn read_neighbours(&self, running: &[WorkerRun]) -> NeighbourReadings {
         let mut readings = NeighbourReadings::default();
         for (key, plan) in self.table.plans() {
             if plan.is_filling {
-                let is_light = self.table.is_light(&plan.image);
-                let percent = if !is_light {
-                    self.pace.percent()
-                } else if self.pace.slows_light() {
-                    0
-                } else {
-                    100
-                };
-                let cores = plan.cores.as_millicores() * u64::from(percent) / 100;
+                let share = self.paced.get(key).copied().unwrap_or(100);
+                let cores = plan.cores.as_millicores() * u64::from(share) / 100;
                 *readings.filled.entry(plan.image.clone()).or_default() += cores;
-                let group = if is_light {
-                    &mut readings.light
-                } else {
-                    &mut readings.pressing
-                };
-                group.push(*key);
                 continue;
             }
             let run = running.iter().find(|run| run.status.key == *key);
@@ -248,7 +262,8 @@
                     tail_millis,
                     target_millis,
                 };
-                readings.tails.push(sample.permille());
+                let tails = readings.tails.entry(plan.image.clone()).or_default();
+                tails.push(sample.permille());
             }
         }
         readings
@@ -264,14 +279,17 @@
             return;
         }
         let number = self.pressure.as_ref().map_or(0, |(number, _)| *number);
-        let load: f64 = readings.tails.iter().map(|tail| load_of(*tail)).sum();
+        let loads = readings.tails.iter().map(|(image, tails)| {
+            let load: f64 = tails.iter().map(|tail| load_of(*tail)).sum();
+            (image.clone(), (load * 1000.0 / tails.len() as f64) as u32)
+        });
+        let images = readings
+            .filled
+            .iter()
+            .map(|(image, cores)| (image.clone(), (cores * 1000 / capacity) as u32));
         let sample = PressureSample {
-            load_permille: (load * 1000.0 / readings.tails.len() as f64) as u32,
-            images: readings
-                .filled
-                .iter()
-                .map(|(image, cores)| (image.clone(), (cores * 1000 / capacity) as u32))
-                .collect(),
+            loads: loads.collect(),
+            images: images.collect(),
         };
         self.pressure = Some((number + 1, sample));
     }
@@ -280,18 +298,11 @@
 /// What the tasks of a VM do to each other.
 #[derive(Default)]
 struct NeighbourReadings {
-    /// Tail latencies of serving tasks, in thousandths of their targets.
-    tails: Vec<u64>,
+    /// Tail latencies of the tasks of each serving image, in thousandths of
+    /// their targets.
+    tails: BTreeMap<String, Vec<u64>>,
     /// Processors with which each image fills, in thousandths of a core.
     filled: BTreeMap<String, u64>,
-    pressing: Vec<RunKey>,
-    light: Vec<RunKey>,
-}
-
-impl NeighbourReadings {
-    fn worst_permille(&self) -> u64 {
-        self.tails.iter().copied().max().unwrap_or(0)
-    }
 }
 
 fn pace(state: &AgentState, endpoint: String, fence: u64, key: RunKey, percent: u32) {
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -22,7 +22,7 @@
 pub use order::{JobUrgency, rank_job};
 pub use pace::{PaceChange, PaceControl, PaceSample};
 pub use placement::{PlacementRequest, VmRoom, choose_vm};
-pub use pressure::{PressureSample, PressureTable, load_of};
+pub use pressure::{ImagePair, PressureSample, PressureTable, load_of};
 pub use progress::{JobPhase, JobState, RunPlace, TaskState};
 pub use report::{EndKind, EndpointFacts, RunEnd, RunStatus, VmReport, read_key, write_key};
 pub use runs::{RunCall, RunTable, StartAnswer, StartPlan, StopAnswer, WorkerLists};
--- a/crates/turmeric-jobs/src/pace.rs
+++ b/crates/turmeric-jobs/src/pace.rs
@@ -4,18 +4,29 @@
 //! filling tasks beside it push its tail latency over the target. They are
 //! slowed within a reading or two and sped up again in small steps.
 
-/// Tail latency at which filling tasks are slowed, in thousandths of the
-/// target: some room, since readings are half a second old.
-const SLOW_PERMILLE: u64 = 850;
+/// Tail latency, in thousandths of the target, up to which the share is raised.
+const RAISE_PERMILLE: u64 = 800;
 
-/// Tail latency below which filling tasks are sped up again.
-const SPEED_UP_PERMILLE: u64 = 600;
+/// Tail latency beyond which the share is cut: some room, since readings are
+/// half a second old.
+const CUT_PERMILLE: u64 = 950;
+
+/// Tail latency beyond which the share is cut to a quarter.
+const DEEP_CUT_PERMILLE: u64 = 1200;
+
+/// Tail latency beyond which filling tasks stand still: the users' bound is 4 s
+/// over the target on end, and a reading comes every half second.
+const STOP_PERMILLE: u64 = 2000;
 
 /// Step by which the share is raised, in percent.
-const RAISE_STEP: u32 = 15;
+const RAISE_STEP: u32 = 12;
 
 /// Below this share, in percent, a filling task stands still instead.
-const SHARE_FLOOR: u32 = 15;
+const SHARE_FLOOR: u32 = 8;
+
+/// Readings over the target, with all that presses standing still, after which
+/// the images that are held for light are slowed as well.
+const DOUBT_LIMIT: u32 = 2;
 
 /// One reading of a serving task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,10 +51,6 @@
     pub percent: u32,
 }
 
-/// Readings over the target, with all that presses standing still, after which
-/// the images that are held for light are slowed as well.
-const DOUBT_LIMIT: u32 = 2;
-
 /// The share at which filling tasks of one VM work.
 #[derive(Clone, Copy, Debug)]
 pub struct PaceControl {
@@ -77,23 +84,22 @@
     ///
     /// Returns the new share when it changes.
     pub fn take_worst(&mut self, worst: u64) -> Option<PaceChange> {
-        let percent = if worst > 1000 {
-            0
-        } else if worst > SLOW_PERMILLE {
-            let half = self.percent / 2;
-            if half < SHARE_FLOOR { 0 } else { half }
-        } else if worst < SPEED_UP_PERMILLE {
-            (self.percent + RAISE_STEP).min(100)
-        } else {
-            self.percent
-        };
-        if worst > 1000 && self.percent == 0 {
+        let was = self.percent;
+        if worst > 1000 && was == 0 {
             self.doubts += 1;
-        } else if worst < SPEED_UP_PERMILLE {
+        } else if worst <= RAISE_PERMILLE {
             self.doubts = 0;
         }
-        let has_changed = percent != self.percent;
-        self.percent = percent;
-        has_changed.then_some(PaceChange { percent })
+        let percent = match worst {
+            0..=RAISE_PERMILLE => (was + RAISE_STEP).min(100),
+            ..=CUT_PERMILLE => was,
+            ..=DEEP_CUT_PERMILLE => was * 6 / 10,
+            ..=STOP_PERMILLE => was / 4,
+            _ => 0,
+        };
+        self.percent = if percent < SHARE_FLOOR { 0 } else { percent };
+        (self.percent != was).then_some(PaceChange {
+            percent: self.percent,
+        })
     }
 }
--- a/crates/turmeric-jobs/src/placement.rs
+++ b/crates/turmeric-jobs/src/placement.rs
@@ -6,10 +6,12 @@
 //! only as far as their images press little; all others use the rest of the
 //! VMs that serve.
 
+use std::collections::BTreeMap;
+
 use turmeric_types::{CoreCount, ResourceSet};
 
-use crate::StepSpec;
 use crate::pressure::SERVING_LOAD;
+use crate::{PressureTable, StepSpec};
 
 /// What a VM offers at this moment.
 #[derive(Clone, Debug)]
@@ -30,8 +32,10 @@
     pub served: CoreCount,
     /// Tasks on it that serve their own users.
     pub serving: usize,
-    /// Load that the filling tasks there add to serving ones.
-    pub pressure: f64,
+    /// Load that the filling tasks there add to each serving image there.
+    pub pressure: BTreeMap<String, f64>,
+    /// Processors of each filling image there.
+    pub fillers: BTreeMap<String, CoreCount>,
     /// All processors of the VM.
     pub cores: CoreCount,
     /// Tasks on it that fill.
@@ -47,10 +51,7 @@
 /// Load up to which filling tasks bring the serving tasks of a VM on average:
 /// a target of five times the idle tail latency is reached at 0.8, and the
 /// load swings.
-const LOAD_LIMIT: f64 = 0.70;
-
-/// Gain below which a filling task is as good beside serving tasks as anywhere.
-const LIGHT_GAIN: f64 = 0.5;
+const LOAD_LIMIT: f64 = 0.85;
 
 /// What a task asks for.
 #[derive(Clone, Copy, Debug)]
@@ -59,8 +60,8 @@
     pub service: &'a str,
     /// The task's step.
     pub step: &'a StepSpec,
-    /// Load that its image adds with all processors of a VM.
-    pub gain: f64,
+    /// What is known of pairs of images.
+    pub table: &'a PressureTable,
     /// Nothing of the job runs, and it has waited long enough to press on
     /// others; it is paced then.
     pub is_starved: bool,
@@ -80,16 +81,29 @@
     }
 
     /// Takes a task of a step into account.
-    pub fn add(&mut self, step: &StepSpec, gain: f64) {
+    pub fn add(&mut self, step: &StepSpec, table: &PressureTable) {
+        let image = step.image.clone().unwrap_or_default();
         self.free = self.free.saturating_sub(&step.reserved());
         if step.latency_target_millis.is_some() {
             self.serving += 1;
             let served = self.served.as_millicores() + step.need.cores.as_millicores();
             self.served = CoreCount::from_millicores(served);
+            let pressure = self
+                .fillers
+                .iter()
+                .map(|(filling, cores)| table.gain(filling, &image) * self.share(*cores))
+                .sum();
+            self.pressure.insert(image.clone(), pressure);
         }
         if step.is_filling {
             self.filling += 1;
-            self.pressure += gain * self.share(step.need.cores);
+            let share = self.share(step.need.cores);
+            for (serving, pressure) in &mut self.pressure {
+                *pressure += table.gain(&image, serving) * share;
+            }
+            let cores = self.fillers.entry(image).or_default();
+            let sum = cores.as_millicores() + step.need.cores.as_millicores();
+            *cores = CoreCount::from_millicores(sum);
             let filled = self.filled.as_millicores() + step.need.cores.as_millicores();
             self.filled = CoreCount::from_millicores(filled);
         }
@@ -114,12 +128,23 @@
     /// Returns whether a filling task would find idle processors there and
     /// disturb nobody.
     fn fills_in(&self, room: &VmRoom) -> bool {
-        let added = self.gain * room.share(self.step.need.cores);
-        let load = SERVING_LOAD + room.pressure + added;
-        let is_bearable = room.serving == 0 || self.is_starved || load <= LOAD_LIMIT;
+        let is_bearable = self.is_starved || self.pressed_load(room) <= LOAD_LIMIT;
         is_bearable && self.step.need.cores <= room.idle()
     }
 
+    /// Returns the mean load of the serving image that a filling task would
+    /// press on most; zero where nothing serves.
+    fn pressed_load(&self, room: &VmRoom) -> f64 {
+        let image = self.step.image.as_deref().unwrap_or_default();
+        let share = room.share(self.step.need.cores);
+        room.pressure
+            .iter()
+            .map(|(serving, pressure)| {
+                SERVING_LOAD + pressure + self.table.gain(image, serving) * share
+            })
+            .fold(0.0, f64::max)
+    }
+
     fn is_far(&self, room: &VmRoom) -> bool {
         self.step
             .rack
@@ -144,15 +169,12 @@
                 // Beside other serving tasks, and away from filling ones.
                 (room.serving == 0, room.filling, cores)
             } else if request.step.is_filling {
-                // What presses goes where nothing serves, what does not stays away
-                // from there.
-                let is_light = request.gain < LIGHT_GAIN;
-                let is_misplaced = is_light == (room.serving == 0);
-                (
-                    is_misplaced,
-                    room.filling,
-                    u64::MAX - room.idle().as_millicores(),
-                )
+                // Where it presses least, so that VMs that serve nothing are left
+                // to the images that press everywhere.
+                let added = request.pressed_load(room) - SERVING_LOAD;
+                let step = (added.max(0.0) * 10.0) as usize;
+                let is_empty = room.serving == 0;
+                (is_empty, step, u64::MAX - room.idle().as_millicores())
             } else {
                 (room.serving == 0, 0, cores)
             };
--- a/crates/turmeric-jobs/src/pressure.rs
+++ b/crates/turmeric-jobs/src/pressure.rs
@@ -1,10 +1,9 @@
-//! How much the filling tasks of an image press on the serving tasks beside
-//! them.
+//! How much the filling tasks of an image press on the serving tasks of another.
 //!
 //! Load pattern: filling tasks of several images come and go beside serving
-//! tasks whose own load swings; some images multiply the tail latency, others
-//! leave it alone. A running regression over the coarse readings of all VMs
-//! tells them apart within a few seconds, whatever else runs beside them.
+//! tasks whose own load swings; some pairs of images multiply the tail latency,
+//! others leave it alone. A running regression over the coarse readings of all
+//! VMs tells the pairs apart within seconds, whatever else runs beside them.
 
 use std::collections::BTreeMap;
 
@@ -15,30 +14,40 @@
 /// Mean load of serving tasks by themselves on the published deployments.
 pub(crate) const SERVING_LOAD: f64 = 0.45;
 
-/// Load that an image adds with all processors of a VM, before it was seen.
+/// Load that a pair of images adds with all processors of a VM, before it was seen.
 /// Cautious: images that press were seen to add 1.3 to 2.
 const GAIN_PRIOR: f64 = 1.0;
 
-/// Bounds of what an image can be held to add.
+/// Bounds of what a pair can be held to add.
 const GAIN_BOUNDS: (f64, f64) = (0.0, 3.0);
 
 /// Part of the error that one reading corrects. The load swings by a half with
 /// a period of 14 to 20 s, and eleven VMs give 22 readings a second.
-const LEARNING_RATE: f64 = 0.06;
+const LEARNING_RATE: f64 = 0.12;
 
 /// Keeps readings with little filling work from counting for much; the square
 /// of a share of 0.14, which one filling task has.
 const SHARE_FLOOR: f64 = 0.02;
 
-/// Below this gain an image is light: even a VM full of it adds less than the
-/// swing of the serving load.
-const LIGHT_GAIN: f64 = 0.35;
+/// Below this gain a pair is light: even a VM full of the filling image adds
+/// less than the swing of the serving load.
+const LIGHT_GAIN: f64 = 0.4;
+
+/// An image that fills and one that serves.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ImagePair {
+    /// Image of the filling tasks.
+    pub filling: String,
+    /// Image of the serving tasks.
+    pub serving: String,
+}
 
 /// One reading of a VM on which tasks fill and serve.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PressureSample {
-    /// Mean load of the serving tasks, by their tail latencies, in thousandths.
-    pub load_permille: u32,
+    /// Mean load of the tasks of each serving image, by their tail latencies, in
+    /// thousandths.
+    pub loads: BTreeMap<String, u32>,
     /// Processors with which each image filled, in thousandths of the VM's.
     pub images: BTreeMap<String, u32>,
 }
@@ -53,10 +62,10 @@
     1.0 - IDLE_SHARE / ratio
 }
 
-/// How much the filling tasks of each image press.
+/// How much each pair of images presses.
 #[derive(Clone, Debug, Default)]
 pub struct PressureTable {
-    gains: BTreeMap<String, f64>,
+    gains: BTreeMap<ImagePair, f64>,
 }
 
 impl PressureTable {
@@ -65,29 +74,42 @@
         Self::default()
     }
 
-    /// Returns the load that an image adds with all processors of a VM.
-    pub fn gain(&self, image: &str) -> f64 {
-        self.gains.get(image).copied().unwrap_or(GAIN_PRIOR)
+    /// Returns the load that a filling image adds to a serving one with all
+    /// processors of a VM.
+    pub fn gain(&self, filling: &str, serving: &str) -> f64 {
+        let pair = ImagePair {
+            filling: filling.to_owned(),
+            serving: serving.to_owned(),
+        };
+        self.gains.get(&pair).copied().unwrap_or(GAIN_PRIOR)
     }
 
     /// Takes in a reading.
     pub fn take_sample(&mut self, sample: &PressureSample) {
-        let shares: Vec<(&String, f64)> = sample
-            .images
+        for (serving, load) in &sample.loads {
+            self.take_load(serving, f64::from(*load) / 1000.0, &sample.images);
+        }
+    }
+
+    fn take_load(&mut self, serving: &str, load: f64, images: &BTreeMap<String, u32>) {
+        let shares: Vec<(&String, f64)> = images
             .iter()
             .map(|(image, permille)| (image, f64::from(*permille) / 1000.0))
             .collect();
         let expected: f64 = shares
             .iter()
-            .map(|(image, share)| self.gain(image) * share)
+            .map(|(image, share)| self.gain(image, serving) * share)
             .sum();
         let square: f64 = shares.iter().map(|(_, share)| share * share).sum();
-        let seen = f64::from(sample.load_permille) / 1000.0 - SERVING_LOAD;
-        let correction = LEARNING_RATE * (seen - expected) / (SHARE_FLOOR + square);
+        let correction = LEARNING_RATE * (load - SERVING_LOAD - expected) / (SHARE_FLOOR + square);
         for (image, share) in shares {
-            let gain = self.gain(image) + correction * share;
+            let gain = self.gain(image, serving) + correction * share;
+            let pair = ImagePair {
+                filling: image.clone(),
+                serving: serving.to_owned(),
+            };
             self.gains
-                .insert(image.clone(), gain.clamp(GAIN_BOUNDS.0, GAIN_BOUNDS.1));
+                .insert(pair, gain.clamp(GAIN_BOUNDS.0, GAIN_BOUNDS.1));
         }
     }
 
@@ -96,15 +118,15 @@
         let gains = self
             .gains
             .iter()
-            .map(|(image, gain)| format!("{image} {gain:.2}"));
+            .map(|(pair, gain)| format!("{} on {} {gain:.2}", pair.filling, pair.serving));
         gains.collect::<Vec<_>>().join(", ")
     }
 
-    /// Returns the images that leave the tasks beside them alone.
-    pub fn light_images(&self) -> impl Iterator<Item = &str> {
+    /// Returns the pairs that leave each other alone.
+    pub fn light_pairs(&self) -> impl Iterator<Item = &ImagePair> {
         self.gains
             .iter()
             .filter(|(_, gain)| **gain < LIGHT_GAIN)
-            .map(|(image, _)| image.as_str())
+            .map(|(pair, _)| pair)
     }
 }
--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -247,14 +247,14 @@
 fn write_pressure((number, sample): &(u64, PressureSample)) -> v1::PressureReading {
     v1::PressureReading {
         number: *number,
-        load_permille: sample.load_permille,
+        loads: sample.loads.clone().into_iter().collect(),
         images: sample.images.clone().into_iter().collect(),
     }
 }
 
 fn read_pressure(message: v1::PressureReading) -> (u64, PressureSample) {
     let sample = PressureSample {
-        load_permille: message.load_permille,
+        loads: message.loads.into_iter().collect(),
         images: message.images.into_iter().collect(),
     };
     (message.number, sample)
--- a/crates/turmeric-jobs/src/runs.rs
+++ b/crates/turmeric-jobs/src/runs.rs
@@ -12,8 +12,8 @@
 use turmeric_types::{CoreCount, MonoTime};
 
 use crate::{
-    EndpointFacts, EndpointLife, LeaseGrant, NameError, RunEnd, RunKey, RunStatus, VmReport,
-    read_key,
+    EndpointFacts, EndpointLife, ImagePair, LeaseGrant, NameError, RunEnd, RunKey, RunStatus,
+    VmReport, read_key,
 };
 
 /// Orders older than this start nothing: a zone may have been taken out since
@@ -120,7 +120,7 @@
     refused: BTreeSet<RunKey>,
     epoch: u64,
     taken_orders: u64,
-    light_images: BTreeSet<String>,
+    light_pairs: BTreeSet<ImagePair>,
     grant: Option<LeaseGrant>,
     /// Counts changes, so that old lists are told from new ones.
     changes: u64,
@@ -251,7 +251,11 @@
             return Ok(false);
         }
         self.taken_orders = orders.sequence;
-        self.light_images = orders.light_images.iter().cloned().collect();
+        let pairs = orders.light_pairs.iter().map(|pair| ImagePair {
+            filling: pair.filling.clone(),
+            serving: pair.serving.clone(),
+        });
+        self.light_pairs = pairs.collect();
         let reported_at = MonoTime::from_millis(orders.stamp_millis);
         if self
             .grant
@@ -467,9 +471,9 @@
         !gone.is_empty()
     }
 
-    /// Returns whether an image leaves serving tasks alone.
-    pub fn is_light(&self, image: &str) -> bool {
-        self.light_images.contains(image)
+    /// Returns whether a pair of images leaves each other alone.
+    pub fn is_light(&self, pair: &ImagePair) -> bool {
+        self.light_pairs.contains(pair)
     }
 
     /// Returns what runs and fills, and the targets of what runs and serves.
--- a/crates/turmeric-jobs/src/scheduler/load.rs
+++ b/crates/turmeric-jobs/src/scheduler/load.rs
@@ -23,12 +23,12 @@
         for (name, vm) in &self.vms {
             match vm.room(name, &self.pressure, now) {
                 Some(room) => text.push_str(&format!(
-                    "{name}: free {} idle {} serving {} filling {} pressure {:.2}; ",
+                    "{name}: free {} idle {} serving {} filling {} pressure {:?}; ",
                     room.free.cores,
                     room.idle(),
                     room.serving,
                     room.filling,
-                    room.pressure
+                    room.pressure.values().copied().fold(0.0, f64::max)
                 )),
                 None => text.push_str(&format!("{name}: takes nothing; ")),
             }
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -74,7 +74,15 @@
             keep: keep.iter().map(write_key).collect(),
             recorded_end: vm.recorded_end(),
             sequence,
-            light_images: self.pressure.light_images().map(str::to_owned).collect(),
+            light_pairs: self
+                .pressure
+                .light_pairs()
+                .filter(|pair| vm.held.values().any(|run| run.image == pair.serving))
+                .map(|pair| v1::LightPair {
+                    filling: pair.filling.clone(),
+                    serving: pair.serving.clone(),
+                })
+                .collect(),
         })
     }
 
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -138,12 +138,10 @@
         if step.is_gang && waiting.len() < step.count as usize {
             return Vec::new();
         }
-        let image = step.image.as_deref().unwrap_or_default();
-        let gain = self.pressure.gain(image);
         let request = PlacementRequest {
             service,
             step,
-            gain,
+            table: &self.pressure,
             is_starved: false,
         };
         let is_idle = job.tasks.values().all(|state| state.place.is_none());
@@ -168,7 +166,7 @@
             };
             let vm = found.vm.clone();
             if let Some(room) = rooms.get_mut(&vm) {
-                room.add(step, gain);
+                room.add(step, &self.pressure);
             }
             let run = job
                 .tasks
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -161,6 +161,7 @@
         let free = self.held.values().fold(facts.capacity, |free, run| {
             free.saturating_sub(&run.reserved)
         });
+        let fillers = self.fillers();
         Some(VmRoom {
             vm: name.to_owned(),
             service: facts.service.clone(),
@@ -169,7 +170,8 @@
             free,
             filled: self.cores_of(|run| run.is_filling),
             served: self.cores_of(|run| run.is_serving),
-            pressure: self.pressure(images, facts.capacity.cores),
+            pressure: self.pressure(images, facts.capacity.cores, &fillers),
+            fillers,
             cores: facts.capacity.cores,
             serving: self.held.values().filter(|run| run.is_serving).count(),
             filling: self.held.values().filter(|run| run.is_filling).count(),
@@ -177,13 +179,36 @@
         })
     }
 
-    /// Returns the load that the filling tasks add to serving ones.
-    fn pressure(&self, images: &PressureTable, capacity: CoreCount) -> f64 {
-        let filling = self.held.values().filter(|run| run.is_filling);
-        let pressing: f64 = filling
-            .map(|run| images.gain(&run.image) * run.cores.as_millicores() as f64)
-            .sum();
-        pressing / capacity.as_millicores().max(1) as f64
+    /// Returns the load that the filling tasks add to each serving image.
+    fn pressure(
+        &self,
+        images: &PressureTable,
+        capacity: CoreCount,
+        fillers: &BTreeMap<String, CoreCount>,
+    ) -> BTreeMap<String, f64> {
+        let serving = self.held.values().filter(|run| run.is_serving);
+        let capacity = capacity.as_millicores().max(1) as f64;
+        serving
+            .map(|run| {
+                let pressure = fillers
+                    .iter()
+                    .map(|(filling, cores)| {
+                        images.gain(filling, &run.image) * cores.as_millicores() as f64 / capacity
+                    })
+                    .sum();
+                (run.image.clone(), pressure)
+            })
+            .collect()
+    }
+
+    fn fillers(&self) -> BTreeMap<String, CoreCount> {
+        let mut fillers: BTreeMap<String, CoreCount> = BTreeMap::new();
+        for run in self.held.values().filter(|run| run.is_filling) {
+            let cores = fillers.entry(run.image.clone()).or_default();
+            let sum = cores.as_millicores() + run.cores.as_millicores();
+            *cores = CoreCount::from_millicores(sum);
+        }
+        fillers
     }
 
     fn cores_of(&self, is_counted: impl Fn(&HeldRun) -> bool) -> CoreCount {
