Count failed attempts by their number, and end the leases of silent workers

Change: attempts that failed are kept as a set; holds to a silent worker carry no deadline; leases at the leader count from the last report under which one was granted.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -69,6 +69,8 @@
     /// Latest deadline that the worker may have been given, by its clock.
     pub(crate) deadline_millis: u64,
     ping_sequence: u64,
+    /// The worker did not answer the last hold.
+    pub(crate) is_silent: bool,
 }
 
 impl AgentState {
@@ -127,6 +129,7 @@
         self.pressure = None;
         self.reading = None;
         self.deadline_millis = 0;
+        self.is_silent = false;
         self.table.lose_sync();
     }
 
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -27,6 +27,11 @@
 /// clocks of these machines jump by up to 2 s.
 const FENCE_STEP: u64 = 10_000;
 
+/// Longest lease that is given at a time: long enough for an agent that is
+/// killed and started again (3.5 s and a heartbeat), short enough for the tasks
+/// of a worker that is gone.
+const WORKER_TERM: Duration = Duration::from_secs(6);
+
 /// Share by which the worker's clock may be slow, in percent.
 const CLOCK_SLOW_PERCENT: u64 = 4;
 
@@ -72,7 +77,8 @@
         // Calls of an earlier life of this agent do nothing from now on.
         core.fence = state.clock.wall().as_millis().max(core.fence + 1);
     }
-    let deadline_millis = core.lease_deadline(lease);
+    // A silent worker is given nothing more, so that its leases end.
+    let deadline_millis = core.lease_deadline(lease).filter(|_| !core.is_silent);
     if let Some(deadline) = deadline_millis {
         core.deadline_millis = core.deadline_millis.max(deadline);
     }
@@ -88,8 +94,9 @@
 impl AgentCore {
     /// Returns the end of the present lease by the worker's clock.
     fn lease_deadline(&self, lease: &LeaseLimits) -> Option<u64> {
-        let grant = self.table.grant()?;
-        Some(grant.worker_deadline(lease, &self.reading?))
+        let reading = self.reading?;
+        let granted = self.table.grant()?.worker_deadline(lease, &reading);
+        Some(granted.min(reading.worker_millis + WORKER_TERM.as_millis() as u64))
     }
 
     /// Returns whether all that the worker was given has surely ended.
@@ -128,6 +135,7 @@
                 return HOLD_GAP;
             }
             let was_synced = core.table.is_synced();
+            core.is_silent = false;
             core.reading = Some(ClockReading {
                 received_at: now,
                 worker_millis: clock_millis,
@@ -166,6 +174,7 @@
             RETRY_INTERVAL
         }
         HoldAnswer::Unknown { .. } => {
+            core.is_silent = true;
             if core.table.is_synced() && core.is_lease_over(now) {
                 warn!("leases have ended at a silent worker", kv: { life = life.to_string() });
                 core.table.set_over();
--- a/crates/turmeric-jobs/src/progress.rs
+++ b/crates/turmeric-jobs/src/progress.rs
@@ -1,6 +1,6 @@
 //! What the leader has decided and learned of one job.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use turmeric_schema::v1;
 use turmeric_types::WallTime;
@@ -70,8 +70,8 @@
     pub is_done: bool,
     /// Number of the last attempt.
     pub run: RunNumber,
-    /// Attempts that ended as failed.
-    pub failures: u32,
+    /// Attempts that ended as failed; an end may be heard more than once.
+    pub failed_runs: BTreeSet<RunNumber>,
     /// Checkpoint to resume from; empty if there is none.
     pub checkpoint: String,
     /// Where the last attempt may be running.
@@ -144,7 +144,7 @@
                 *state = TaskState {
                     is_done: task.done,
                     run: RunNumber::new(task.run),
-                    failures: task.failures,
+                    failed_runs: task.failed_runs.into_iter().map(RunNumber::new).collect(),
                     checkpoint: task.checkpoint,
                     place,
                 };
@@ -210,7 +210,7 @@
         index: name.index,
         done: state.is_done,
         run: state.run.get(),
-        failures: state.failures,
+        failed_runs: state.failed_runs.iter().map(|run| run.get()).collect(),
         checkpoint: state.checkpoint.clone(),
         vm,
         endpoint: life.endpoint,
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -139,6 +139,7 @@
 
     /// Takes in what an earlier leader recorded of a job.
     pub fn restore_job(&mut self, code: JobCode, progress: v1::JobProgress) {
+        let earlier_end = self.earlier_end();
         let Some(job) = self.jobs.get_mut(&code) else {
             return;
         };
@@ -160,7 +161,7 @@
             let vm = self
                 .vms
                 .entry(held.place.vm.clone())
-                .or_insert_with(|| VmState::new(self.took_over_at));
+                .or_insert_with(|| VmState::new(self.took_over_at, earlier_end));
             vm.held.insert(key, held);
         }
     }
@@ -203,6 +204,12 @@
         std::mem::take(&mut self.news)
     }
 
+    /// Returns until when an earlier leader may have renewed leases: until it
+    /// lost confidence.
+    fn earlier_end(&self) -> MonoTime {
+        self.took_over_at.after(self.terms.confidence)
+    }
+
     /// Returns whether the state of a job may be forgotten.
     fn is_expired(&self, job: &JobState, now: WallTime) -> bool {
         job.ended_at
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -16,10 +16,16 @@
     /// Takes in a report of an agent.
     pub fn take_report(&mut self, report: VmReport, now: MonoTime, wall: WallTime) {
         let name = report.vm.clone();
+        let earlier_end = self.earlier_end();
+        let is_ours = report.epoch == self.epoch;
         let vm = self
             .vms
             .entry(name.clone())
-            .or_insert_with(|| VmState::new(now));
+            .or_insert_with(|| VmState::new(now, earlier_end));
+        if is_ours && !vm.is_ours {
+            vm.is_ours = true;
+            vm.leased_at = now;
+        }
         vm.zone.clone_from(&report.zone);
         vm.heard_at = now;
         vm.stamp_millis = report.stamp_millis;
@@ -61,9 +67,11 @@
             vm.seen_reading = *number;
             self.pressure.take_sample(sample);
         }
-        let epoch = self.epoch;
-        if let Some(vm) = self.vms.get_mut(&name) {
-            vm.is_ready = report.epoch == epoch;
+        if let Some(vm) = self.vms.get_mut(&name)
+            && is_ours
+        {
+            vm.is_ready = true;
+            vm.leased_at = now;
         }
     }
 
@@ -125,7 +133,7 @@
         }
         match end.kind {
             EndKind::Done => self.note_done(end.key.task, step.is_gang, wall),
-            EndKind::Failed => self.note_failed(end.key.task, step.is_gang, wall),
+            EndKind::Failed => self.note_failed(end.key, step.is_gang, wall),
             _ => {}
         }
         true
@@ -154,7 +162,8 @@
     }
 
     /// Counts a failed attempt; the job fails with the last one it may.
-    fn note_failed(&mut self, task: TaskName, is_gang: bool, wall: WallTime) {
+    fn note_failed(&mut self, key: RunKey, is_gang: bool, wall: WallTime) {
+        let task = key.task;
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -168,8 +177,8 @@
         let Some(state) = job.tasks.get_mut(&counted) else {
             return;
         };
-        state.failures += 1;
-        if state.failures >= limit {
+        state.failed_runs.insert(key.run);
+        if state.failed_runs.len() >= limit as usize {
             self.finish_job(task.job, JobPhase::Failed, wall);
         }
     }
@@ -295,17 +304,10 @@
     /// Does what is due by time: lapsed leases and attempts that stand still.
     pub fn tick(&mut self, now: MonoTime) {
         let wait = self.terms.lease.wait();
-        // An earlier leader may have renewed leases until it lost confidence.
-        let earlier_end = self.took_over_at.after(self.terms.confidence + wait);
         let silent: Vec<String> = self
             .vms
             .iter()
-            .filter(|(_, vm)| {
-                let is_known = vm.stamp_millis > 0;
-                let end = vm.heard_at.after(wait);
-                let end = if is_known { end } else { end.max(earlier_end) };
-                !vm.held.is_empty() && now > end
-            })
+            .filter(|(_, vm)| !vm.held.is_empty() && now > vm.leased_at.after(wait))
             .map(|(name, _)| name.clone())
             .collect();
         for name in silent {
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -85,6 +85,10 @@
     pub(crate) is_ready: bool,
     pub(crate) heard_at: MonoTime,
     pub(crate) stamp_millis: u64,
+    /// No lease on the VM counts from later than this.
+    pub(crate) leased_at: MonoTime,
+    /// The agent has heard of this leader, so that no other renews its leases.
+    pub(crate) is_ours: bool,
     pub(crate) held: BTreeMap<RunKey, HeldRun>,
     /// What the last report listed.
     pub(crate) reported: BTreeSet<RunKey>,
@@ -100,13 +104,16 @@
 }
 
 impl VmState {
-    pub(crate) fn new(now: MonoTime) -> Self {
+    /// Creates a VM whose leases count from `leased_at` at the latest.
+    pub(crate) fn new(now: MonoTime, leased_at: MonoTime) -> Self {
         Self {
             zone: String::new(),
             facts: None,
             is_ready: false,
             heard_at: now,
             stamp_millis: 0,
+            leased_at,
+            is_ours: false,
             held: BTreeMap::new(),
             reported: BTreeSet::new(),
             unrecorded: BTreeMap::new(),
