--- /dev/null
+++ b/crates/turmeric-jobs/tests/decisions.rs
@@ -0,0 +1,276 @@
+//! Decisions one by one, each under the load that it answers.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rstest::rstest;
+use turmeric_jobs::{
+    AdmissionDecision, ClockReading, JobSpec, JobUrgency, LeaseGrant, LeaseLimits, PaceControl,
+    PlacementRequest, PressureSample, PressureTable, QueueDelay, QueuePolicy, StepSpec, VmRoom,
+    admit, choose_vm, load_of, rank_job,
+};
+use turmeric_types::{
+    AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, SplitRandom, WallTime,
+};
+
+fn cores(millicores: u64) -> CoreCount {
+    CoreCount::from_millicores(millicores)
+}
+
+fn step(millicores: u64) -> StepSpec {
+    StepSpec {
+        count: 1,
+        need: ResourceSet::new(
+            cores(millicores),
+            MemorySize::new(1 << 30),
+            AcceleratorCount::new(0),
+        ),
+        estimate: Duration::from_secs(2),
+        ..StepSpec::default()
+    }
+}
+
+fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        queue: QueuePolicy {
+            stretch_permille: 2000,
+            objective: Duration::from_secs(1),
+            ..QueuePolicy::default()
+        },
+        accepted_at: WallTime::from_millis(10_000),
+        text: String::new(),
+        steps,
+        repeat: None,
+    }
+}
+
+fn room(vm: &str, free: u64) -> VmRoom {
+    VmRoom {
+        vm: vm.to_owned(),
+        service: "s".to_owned(),
+        labels: vec!["a".to_owned()],
+        rack: Some("r1-1".to_owned()),
+        free: ResourceSet::new(
+            cores(free),
+            MemorySize::new(64 << 30),
+            AcceleratorCount::new(0),
+        ),
+        filled: cores(0),
+        served: cores(0),
+        serving: 0,
+        filling: 0,
+        pressure: BTreeMap::new(),
+        fillers: BTreeMap::new(),
+        cores: cores(16_000),
+        is_suspect: false,
+    }
+}
+
+/// A burst: more and more work ahead of a job that takes 2 s.
+#[rstest]
+#[case(0, true)]
+#[case(10_000, true)]
+#[case(10_001, false)]
+#[case(60_000, false)]
+fn a_job_is_refused_at_once_when_it_would_come_too_late(#[case] delay: u64, #[case] taken: bool) {
+    let spec = job(vec![step(1000)]);
+    let delay = QueueDelay {
+        delay: Duration::from_millis(delay),
+    };
+    match admit(&spec, delay) {
+        AdmissionDecision::Accept => assert!(taken),
+        AdmissionDecision::Refuse { retry_after } => {
+            assert!(!taken);
+            assert_eq!(retry_after, delay.delay - spec.objective() * 2);
+        }
+    }
+}
+
+#[test]
+fn a_lasting_job_is_never_refused_for_a_backlog() {
+    let lasting = StepSpec {
+        is_lasting: true,
+        ..step(1000)
+    };
+    let delay = QueueDelay {
+        delay: Duration::from_secs(600),
+    };
+    assert_eq!(admit(&job(vec![lasting]), delay), AdmissionDecision::Accept);
+}
+
+/// A backlog after a burst: jobs that can still come in time go first.
+#[test]
+fn jobs_that_missed_their_objective_wait_for_those_that_can_meet_it() {
+    let spec = job(vec![step(1000)]);
+    let at = |millis| rank_job(&spec, 2000, WallTime::from_millis(millis)).0;
+    assert_eq!(at(10_000), JobUrgency::InTime);
+    assert_eq!(at(13_001), JobUrgency::Late);
+    assert_eq!(at(23_001), JobUrgency::Overdue);
+    let fresh = JobSpec {
+        accepted_at: WallTime::from_millis(13_000),
+        ..spec.clone()
+    };
+    let now = WallTime::from_millis(13_500);
+    assert!(rank_job(&fresh, 2000, now) < rank_job(&spec, 2000, now));
+}
+
+/// Nearly full VMs: small tasks leave the large gaps whole.
+#[test]
+fn a_task_goes_where_it_fits_best() {
+    let rooms = [
+        room("wide", 12_000),
+        room("tight", 2_500),
+        room("full", 500),
+    ];
+    let table = PressureTable::new();
+    let step = step(2_000);
+    let request = PlacementRequest {
+        service: "s",
+        step: &step,
+        table: &table,
+        is_starved: false,
+    };
+    let chosen = choose_vm(&request, rooms.iter(), |_| 0).unwrap();
+    assert_eq!(chosen.vm, "tight");
+}
+
+#[rstest]
+#[case::service(StepSpec { ..step(100) }, "other", 0)]
+#[case::label(StepSpec { label: Some("gpu".to_owned()), ..step(100) }, "s", 0)]
+#[case::limit(StepSpec { vm_limit: Some(2), ..step(100) }, "s", 2)]
+#[case::size(step(20_000), "s", 0)]
+fn a_vm_that_may_not_run_a_task_is_not_chosen(
+    #[case] step: StepSpec,
+    #[case] service: &str,
+    #[case] placed: u32,
+) {
+    let table = PressureTable::new();
+    let request = PlacementRequest {
+        service,
+        step: &step,
+        table: &table,
+        is_starved: false,
+    };
+    let rooms = [room("vm", 16_000)];
+    assert!(choose_vm(&request, rooms.iter(), |_| placed).is_none());
+}
+
+/// Readings of VMs whose serving load swings, with one image that presses on
+/// one of two serving images, and one that presses on none.
+fn learned() -> PressureTable {
+    let mut table = PressureTable::new();
+    let mut random = SplitRandom::new(7);
+    for _ in 0..600 {
+        let swing = 0.45 + 0.2 * (random.next_unit() - 0.5);
+        let is_heavy = random.next_below(2) == 0;
+        let share = 0.1 + 0.1 * random.next_below(3) as f64;
+        let on = |gain: f64| ((swing + gain * share).min(0.99) * 1000.0) as u32;
+        let image = if is_heavy { "heavy" } else { "light" };
+        let sample = PressureSample {
+            loads: BTreeMap::from([
+                ("frail".to_owned(), on(if is_heavy { 1.7 } else { 0.0 })),
+                ("sturdy".to_owned(), on(0.0)),
+            ]),
+            images: BTreeMap::from([(image.to_owned(), (share * 1000.0) as u32)]),
+        };
+        table.take_sample(&sample);
+    }
+    table
+}
+
+#[test]
+fn pairs_that_press_are_told_from_those_that_do_not() {
+    let table = learned();
+    assert!(table.gain("heavy", "frail") > 1.2, "{}", table.describe());
+    for (filling, serving) in [("heavy", "sturdy"), ("light", "frail"), ("light", "sturdy")] {
+        let gain = table.gain(filling, serving);
+        assert!(gain < 0.4, "{filling} on {serving}: {gain}");
+    }
+}
+
+#[test]
+fn a_filling_task_goes_where_it_presses_least() {
+    let table = learned();
+    let beside = |vm: &str, image: &str| VmRoom {
+        serving: 3,
+        served: cores(12_000),
+        pressure: BTreeMap::from([(image.to_owned(), 0.0)]),
+        ..room(vm, 4_000)
+    };
+    let rooms = [beside("a", "frail"), beside("b", "sturdy")];
+    let step = StepSpec {
+        is_filling: true,
+        image: Some("heavy".to_owned()),
+        ..step(4_000)
+    };
+    let mut request = PlacementRequest {
+        service: "s",
+        step: &step,
+        table: &table,
+        is_starved: false,
+    };
+    assert_eq!(choose_vm(&request, rooms.iter(), |_| 0).unwrap().vm, "b");
+    // Beside the frail image alone it waits, unless it would starve.
+    assert!(choose_vm(&request, rooms[..1].iter(), |_| 0).is_none());
+    request.is_starved = true;
+    assert_eq!(
+        choose_vm(&request, rooms[..1].iter(), |_| 0).unwrap().vm,
+        "a"
+    );
+}
+
+#[test]
+fn the_load_follows_from_the_tail_latency() {
+    assert_eq!(load_of(100), 0.0);
+    assert!((load_of(400) - 0.5).abs() < 0.01);
+    assert!((load_of(1000) - 0.8).abs() < 0.01);
+}
+
+/// A load that goes over the target and comes back.
+#[test]
+fn filling_tasks_stand_still_within_two_readings_and_come_back_slowly() {
+    let mut control = PaceControl::default();
+    assert_eq!(control.take_worst(700), None);
+    assert_eq!(control.take_worst(1500).unwrap().percent, 25);
+    assert_eq!(control.take_worst(1500).unwrap().percent, 0);
+    for _ in 0..4 {
+        control.take_worst(1500);
+    }
+    assert!(control.slows_light(), "what presses cannot be to blame");
+    let mut readings = 0;
+    while control.percent() < 100 {
+        control.take_worst(500);
+        readings += 1;
+    }
+    assert!((8..=10).contains(&readings), "{readings} readings");
+    assert!(!control.slows_light());
+}
+
+/// Whatever is paused between a report, the reading of the worker's clock and
+/// the order, the lease ends at most the term after the report.
+#[rstest]
+#[case(0, 0)]
+#[case(3_000, 0)]
+#[case(0, 3_000)]
+#[case(9_000, 500)]
+fn a_lease_never_outlives_the_report_by_more_than_its_term(
+    #[case] read_after: u64,
+    #[case] answer_late: u64,
+) {
+    let limits = LeaseLimits::new(Duration::from_millis(5_900));
+    // The worker's clock is 100 s ahead; the answer with its reading took time.
+    let reported = 50_000;
+    let read_at = reported + read_after;
+    let reading = ClockReading {
+        received_at: MonoTime::from_millis(read_at + answer_late),
+        worker_millis: read_at + 100_000,
+    };
+    let grant = LeaseGrant {
+        reported_at: MonoTime::from_millis(reported),
+    };
+    let end = grant.worker_deadline(&limits, &reading);
+    assert!(end <= reported + 100_000 + 5_900, "{end}");
+    assert!(limits.wait() > Duration::from_millis(5_900 * 102 / 100));
+}
