--- a/crates/turmeric-jobs/src/pace.rs
+++ b/crates/turmeric-jobs/src/pace.rs
@@ -5,21 +5,20 @@
 //! slowed within a reading or two and sped up again in small steps.
 
 /// Tail latency, in thousandths of the target, up to which the share is raised.
-const RAISE_PERMILLE: u64 = 800;
+const RAISE_PERMILLE: u64 = 900;
 
-/// Tail latency beyond which the share is cut: some room, since readings are
-/// half a second old.
-const CUT_PERMILLE: u64 = 950;
+/// Tail latency beyond which the share is cut: the target itself.
+const CUT_PERMILLE: u64 = 1000;
 
 /// Tail latency beyond which the share is cut to a quarter.
-const DEEP_CUT_PERMILLE: u64 = 1200;
+const DEEP_CUT_PERMILLE: u64 = 1400;
 
 /// Tail latency beyond which filling tasks stand still: the users' bound is 4 s
 /// over the target on end, and a reading comes every half second.
-const STOP_PERMILLE: u64 = 2000;
+const STOP_PERMILLE: u64 = 4000;
 
 /// Step by which the share is raised, in percent.
-const RAISE_STEP: u32 = 12;
+const RAISE_STEP: u32 = 30;
 
 /// Below this share, in percent, a filling task stands still instead.
 const SHARE_FLOOR: u32 = 8;
@@ -90,12 +89,16 @@
         } else if worst <= RAISE_PERMILLE {
             self.doubts = 0;
         }
-        let percent = match worst {
-            ..=RAISE_PERMILLE => (was + RAISE_STEP).min(100),
-            ..=CUT_PERMILLE => was,
-            ..=DEEP_CUT_PERMILLE => was * 6 / 10,
-            ..=STOP_PERMILLE => was / 4,
-            _ => 0,
+        let percent = if worst <= RAISE_PERMILLE {
+            (was + RAISE_STEP).min(100)
+        } else if worst <= CUT_PERMILLE {
+            was
+        } else if worst <= DEEP_CUT_PERMILLE {
+            was * 6 / 10
+        } else if worst <= STOP_PERMILLE {
+            was / 4
+        } else {
+            0
         };
         self.percent = if percent < SHARE_FLOOR { 0 } else { percent };
         (self.percent != was).then_some(PaceChange {
