Move filling tasks that are slowed to VMs where they press less

Cause: a filling task stayed where it was placed while the serving tasks beside it were near their peak, though other VMs had room for it. Change: a task slowed below half for 1 s is stopped with a checkpoint and placed again, not on the same VM for 4 s.

--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -231,6 +231,9 @@
             .filter(|(key, share)| **share < 100 || self.paced.contains_key(key))
             .map(|(key, share)| (*key, *share))
             .collect();
+        for (key, share) in &shares {
+            self.table.set_pace(key, *share);
+        }
         self.paced = shares
             .into_iter()
             .filter(|(_, share)| *share < 100)
--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -58,6 +58,8 @@
     pub checkpoint: String,
     /// Share of the work done, 0 to 100.
     pub percent: u32,
+    /// Share of its speed at which it may work, in percent.
+    pub pace: u32,
 }
 
 /// An attempt that ended on the worker.
@@ -213,6 +215,7 @@
                 key: read_key(run.key.as_ref())?,
                 checkpoint: run.checkpoint.clone(),
                 percent: run.percent,
+                pace: run.pace_percent,
             })
         });
         let ends = message.ends.iter().map(|end| {
@@ -265,6 +268,7 @@
         key: Some(write_key(&run.key)),
         checkpoint: run.checkpoint.clone(),
         percent: run.percent,
+        pace_percent: run.pace,
     }
 }
 
--- a/crates/turmeric-jobs/src/runs.rs
+++ b/crates/turmeric-jobs/src/runs.rs
@@ -20,6 +20,9 @@
 /// (bound of the platform: 5 s, of which 3 s are left for the rest of the way).
 const ORDER_TERM: Duration = Duration::from_millis(1500);
 
+/// Share of its speed at which a task starts, in percent.
+const FULL_PACE: u32 = 100;
+
 /// Time between two tries of a call that got no answer.
 const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -306,6 +309,7 @@
             key,
             checkpoint: String::new(),
             percent: 0,
+            pace: FULL_PACE,
         };
         let run = HeldRun {
             state: RunState::Wanted,
@@ -431,7 +435,10 @@
             return false;
         }
         if let Some(run) = self.runs.get_mut(&key) {
-            run.status = status;
+            run.status = RunStatus {
+                pace: run.status.pace,
+                ..status
+            };
             run.was_sent = true;
             if matches!(run.state, RunState::Wanted | RunState::Starting) {
                 run.state = RunState::Running;
@@ -480,6 +487,13 @@
         !gone.is_empty()
     }
 
+    /// Records the share of its speed at which an attempt may work, in percent.
+    pub fn set_pace(&mut self, key: &RunKey, percent: u32) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.status.pace = percent;
+        }
+    }
+
     /// Returns whether a pair of images leaves each other alone.
     pub fn is_light(&self, pair: &ImagePair) -> bool {
         self.light_pairs.contains(pair)
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -10,6 +10,7 @@
 mod load;
 mod orders;
 mod place;
+mod relieve;
 mod vm;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,7 +20,7 @@
 use turmeric_types::{MonoTime, WallTime};
 
 use crate::{
-    JobCode, JobPhase, JobSpec, JobState, LeaseLimits, PressureTable, QueuePolicy, RunKey,
+    JobCode, JobPhase, JobSpec, JobState, LeaseLimits, PressureTable, QueuePolicy, RunKey, TaskName,
 };
 use vm::{HeldRun, VmState};
 
@@ -59,6 +60,8 @@
     /// VMs that have something to be told at once.
     news: BTreeSet<String>,
     is_releasing: bool,
+    /// VMs that tasks were recalled from, until when they do not go back.
+    avoided: BTreeMap<TaskName, (String, MonoTime)>,
     pressure: PressureTable,
 }
 
@@ -89,6 +92,7 @@
             order_sequence: 0,
             news: BTreeSet::new(),
             is_releasing: false,
+            avoided: BTreeMap::new(),
             pressure: PressureTable::new(),
         }
     }
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -317,6 +317,7 @@
             self.lose_all(&name);
         }
         self.recall_stalled(now);
+        self.recall_slowed(now);
     }
 
     /// Recalls attempts that stand still, to go on elsewhere.
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -46,7 +46,7 @@
         }
         let mut placed = 0;
         for code in self.jobs_in_order(wall) {
-            let chosen = self.choose_places(code, &mut rooms, wall);
+            let chosen = self.choose_places(code, &mut rooms, now, wall);
             placed += chosen.len();
             self.give(code, chosen, now);
         }
@@ -72,6 +72,7 @@
         &self,
         code: JobCode,
         rooms: &mut BTreeMap<String, VmRoom>,
+        now: MonoTime,
         wall: WallTime,
     ) -> Vec<ChosenPlace> {
         let Some(job) = self.jobs.get(&code) else {
@@ -95,7 +96,7 @@
                     service,
                     (occurrence, step),
                     rooms,
-                    wall,
+                    (now, wall),
                 ));
             }
         }
@@ -110,7 +111,7 @@
         service: &str,
         (occurrence, number): (u32, u32),
         rooms: &mut BTreeMap<String, VmRoom>,
-        wall: WallTime,
+        (now, wall): (MonoTime, WallTime),
     ) -> Vec<ChosenPlace> {
         let Some(step) = job.spec.steps.get(number as usize) else {
             return Vec::new();
@@ -153,13 +154,19 @@
                 let there = self.vms.get(vm).map_or(0, |vm| vm.count_step(&first));
                 there + chosen.iter().filter(|place| place.vm == vm).count() as u32
             };
-            let found = choose_vm(&request, rooms.values(), placed).or_else(|| {
+            let avoided = self.avoided_vm(&task, now);
+            let open = || {
+                rooms
+                    .values()
+                    .filter(move |room| avoided != Some(room.vm.as_str()))
+            };
+            let found = choose_vm(&request, open(), placed).or_else(|| {
                 let starved = PlacementRequest {
                     is_starved: true,
                     ..request
                 };
                 let is_alone = is_starved && chosen.is_empty();
-                is_alone.then(|| choose_vm(&starved, rooms.values(), placed))?
+                is_alone.then(|| choose_vm(&starved, open(), placed))?
             });
             let Some(found) = found else {
                 break;
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -20,6 +20,10 @@
 /// Time for which a suspected VM gets nothing; after it, one task at a time.
 const SUSPECT_TERM: Duration = Duration::from_secs(3);
 
+/// A filling task that works at less than this share of its speed, in percent,
+/// is better off elsewhere.
+const SLOW_PACE: u32 = 50;
+
 /// An attempt that may take room on a VM.
 #[derive(Clone, Debug)]
 pub(crate) struct HeldRun {
@@ -39,6 +43,8 @@
     /// Number of the first orders without the attempt, once it is not wanted.
     pub(crate) dropped_in: Option<u64>,
     pub(crate) percent: u32,
+    /// Since when it works at less than half of its speed.
+    pub(crate) slowed_at: Option<MonoTime>,
     /// When the share of work done last rose.
     pub(crate) moved_at: MonoTime,
     pub(crate) checkpoint: String,
@@ -59,6 +65,7 @@
             sent_at: None,
             dropped_in: None,
             percent: 0,
+            slowed_at: None,
             moved_at: MonoTime::default(),
             checkpoint: String::new(),
         }
@@ -69,6 +76,11 @@
             self.percent = status.percent;
             self.moved_at = now;
         }
+        self.slowed_at = if status.pace < SLOW_PACE {
+            self.slowed_at.or(Some(now))
+        } else {
+            None
+        };
         if !status.checkpoint.is_empty() {
             self.checkpoint.clone_from(&status.checkpoint);
         }
--- a/crates/turmeric-jobs/tests/world/worker.rs
+++ b/crates/turmeric-jobs/tests/world/worker.rs
@@ -270,6 +270,7 @@
                 .map(|(key, running)| RunStatus {
                     key: *key,
                     checkpoint: String::new(),
+                    pace: 100,
                     percent: (running.done * 100 / TASK_WORK).min(100) as u32,
                 })
                 .collect(),
