--- a/crates/turmeric-jobs/src/placement.rs
+++ b/crates/turmeric-jobs/src/placement.rs
@@ -166,8 +166,11 @@
         .min_by_key(|room| {
             let cores = room.free.cores.as_millicores();
             let by_kind = if request.step.latency_target_millis.is_some() {
-                // Beside other serving tasks, and away from filling ones.
-                (room.serving == 0, room.filling, cores)
+                // Beside serving tasks of the same image, which the same filling
+                // tasks leave alone.
+                let image = request.step.image.as_deref().unwrap_or_default();
+                let others = room.pressure.keys().filter(|key| *key != image).count();
+                (room.serving == 0, others, cores)
             } else if request.step.is_filling {
                 // Where it presses least, so that VMs that serve nothing are left
                 // to the images that press everywhere.
