--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -15,7 +15,9 @@
 use super::intake::{
     INTAKE_TABLE, IntakeRow, PROGRESS_TABLE, follow_intake, job_rows, read_intake,
 };
-use super::leadership::{AgentLink, CALL_TIMEOUT, LeadContext, leader_ref, read_leader};
+use super::leadership::{
+    AgentLink, CALL_TIMEOUT, LEADER_TABLE, LeadContext, PRESSURE_KEY, leader_ref, read_leader,
+};
 use super::link::LinkWriter;
 use super::view::LeaderView;
 
@@ -130,6 +132,11 @@
     };
     let intake = read(INTAKE_TABLE).await?;
     let progress = read(PROGRESS_TABLE).await?;
+    let learned = context
+        .store
+        .read_one(LEADER_TABLE, PRESSURE_KEY, CALL_TIMEOUT)
+        .await
+        .map_err(|error| error.to_string())?;
     let mut scheduler = JobScheduler::new(
         context.terms,
         seat.epoch,
@@ -137,6 +144,14 @@
         context.address.to_string(),
         context.clock.now(),
     );
+    if let Some(value) = learned.and_then(|row| row.value) {
+        match v1::PressureRow::decode(value.as_slice()) {
+            Ok(row) => scheduler.restore_pressure(row),
+            Err(error) => warn!("what was learned of images cannot be read", kv: {
+                reason = error.to_string()
+            }),
+        }
+    }
     let wall = context.clock.wall();
     let rows: Vec<IntakeRow> = intake.rows.iter().filter_map(read_intake).collect();
     for row in &rows {
@@ -422,6 +437,10 @@
         row: RowRef::new(PROGRESS_TABLE, code.to_string()),
         value: value.clone(),
     }));
+    puts.extend(plan.pressure.iter().map(|value| RowPut {
+        row: RowRef::new(LEADER_TABLE, PRESSURE_KEY),
+        value: value.clone(),
+    }));
     TxRequest {
         expect: Vec::new(),
         puts,
--- a/crates/turmeric-daemon/src/hosted/leadership.rs
+++ b/crates/turmeric-daemon/src/hosted/leadership.rs
@@ -23,6 +23,9 @@
 /// Key of the leader's row.
 pub(crate) const LEADER_KEY: &str = "leader";
 
+/// Key of what leaders have learned of pairs of images.
+pub(crate) const PRESSURE_KEY: &str = "pressure";
+
 /// How often a follower reads the row.
 const WATCH_INTERVAL: Duration = Duration::from_millis(400);
 
--- a/crates/turmeric-jobs/src/pressure.rs
+++ b/crates/turmeric-jobs/src/pressure.rs
@@ -7,6 +7,8 @@
 
 use std::collections::BTreeMap;
 
+use turmeric_schema::v1;
+
 /// Tail latency of an idle serving task as a share of its target: the targets
 /// of the published deployments are five times that.
 const IDLE_SHARE: f64 = 0.2;
@@ -113,6 +115,33 @@
         }
     }
 
+    /// Writes what was learned, for the next leader.
+    pub fn write(&self) -> v1::PressureRow {
+        let gains = self.gains.iter().map(|(pair, gain)| v1::PairGain {
+            filling: pair.filling.clone(),
+            serving: pair.serving.clone(),
+            gain_permille: (gain * 1000.0) as u32,
+        });
+        v1::PressureRow {
+            gains: gains.collect(),
+        }
+    }
+
+    /// Reads what an earlier leader learned.
+    pub fn read(row: v1::PressureRow) -> Self {
+        let gains = row.gains.into_iter().map(|gain| {
+            let pair = ImagePair {
+                filling: gain.filling,
+                serving: gain.serving,
+            };
+            let value = f64::from(gain.gain_permille) / 1000.0;
+            (pair, value.clamp(GAIN_BOUNDS.0, GAIN_BOUNDS.1))
+        });
+        Self {
+            gains: gains.collect(),
+        }
+    }
+
     /// Describes the gains, for the log.
     pub fn describe(&self) -> String {
         let gains = self
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -63,6 +63,7 @@
     /// VMs that tasks were recalled from, until when they do not go back.
     avoided: BTreeMap<TaskName, (String, MonoTime)>,
     pressure: PressureTable,
+    pressure_kept_at: MonoTime,
 }
 
 impl JobScheduler {
@@ -94,6 +95,7 @@
             is_releasing: false,
             avoided: BTreeMap::new(),
             pressure: PressureTable::new(),
+            pressure_kept_at: now,
         }
     }
 
@@ -170,6 +172,11 @@
         }
     }
 
+    /// Takes in what an earlier leader learned of pairs of images.
+    pub fn restore_pressure(&mut self, row: v1::PressureRow) {
+        self.pressure = PressureTable::read(row);
+    }
+
     /// Cancels a job; its attempts are recalled at once.
     pub fn cancel_job(&mut self, code: JobCode, now: WallTime) {
         let Some(job) = self.jobs.get(&code) else {
--- a/crates/turmeric-jobs/src/scheduler/commit.rs
+++ b/crates/turmeric-jobs/src/scheduler/commit.rs
@@ -22,6 +22,10 @@
 /// Time between two writes at the least, so that decisions share them.
 const COMMIT_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time between two writes of what was learned of pairs of images, which takes
+/// seconds to learn.
+const PRESSURE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// One transaction: all of it takes effect, or nothing.
 #[derive(Clone, Debug)]
 pub struct CommitPlan {
@@ -31,6 +35,8 @@
     pub leader_row: Vec<u8>,
     /// Progress rows, by job.
     pub progress: Vec<(JobCode, Vec<u8>)>,
+    /// What was learned of pairs of images, where it is time to keep it.
+    pub pressure: Option<Vec<u8>>,
     /// Jobs of which every row is removed.
     pub forgotten: Vec<JobCode>,
     revisions: Vec<(JobCode, u64)>,
@@ -72,7 +78,12 @@
             .map(|(code, _)| *code)
             .take(FORGET_LIMIT)
             .collect();
+        let keeps_pressure = now > self.pressure_kept_at.after(PRESSURE_INTERVAL);
+        if keeps_pressure {
+            self.pressure_kept_at = now;
+        }
         Some(CommitPlan {
+            pressure: keeps_pressure.then(|| self.pressure.write().encode_to_vec()),
             sequence: self.commit_sequence,
             leader_row: self.leader_row(wall).encode_to_vec(),
             progress,
