--- a/crates/turmeric-jobs/src/placement.rs
+++ b/crates/turmeric-jobs/src/placement.rs
@@ -51,7 +51,7 @@
 /// Load up to which filling tasks bring the serving tasks of a VM on average:
 /// a target of five times the idle tail latency is reached at 0.8, and the
 /// load swings.
-const LOAD_LIMIT: f64 = 0.75;
+const LOAD_LIMIT: f64 = 0.65;
 
 /// What a task asks for.
 #[derive(Clone, Copy, Debug)]
--- a/crates/turmeric-jobs/src/progress.rs
+++ b/crates/turmeric-jobs/src/progress.rs
@@ -1,6 +1,7 @@
 //! What the leader has decided and learned of one job.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use turmeric_schema::v1;
 use turmeric_types::WallTime;
@@ -189,6 +190,11 @@
             .all(|(_, state)| state.is_done)
     }
 
+    /// Returns the estimated time to the end if the job ran at once.
+    pub fn remaining(&self, code: JobCode) -> Duration {
+        self.spec.chain_of(|step| !self.is_step_done(code, 0, step))
+    }
+
     /// Returns whether a task may start, by its order among the steps.
     pub fn is_ready(&self, name: &TaskName) -> bool {
         self.spec.steps.get(name.step as usize).is_some_and(|step| {
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -60,7 +60,7 @@
             .iter()
             .filter(|(_, job)| !job.phase.is_over() && has_waiting(job))
             .map(|(code, job)| {
-                let remaining = job.spec.chain().as_millis() as u64;
+                let remaining = job.remaining(*code).as_millis() as u64;
                 (rank_job(&job.spec, remaining, wall), *code)
             })
             .collect();
--- a/crates/turmeric-jobs/src/spec.rs
+++ b/crates/turmeric-jobs/src/spec.rs
@@ -188,8 +188,19 @@
 
     /// Returns the estimated length of the longest chain of steps.
     pub fn chain(&self) -> Duration {
+        self.chain_of(|_| true)
+    }
+
+    /// Returns the estimated length of the longest chain of the steps that
+    /// `counts` names; the others take no time.
+    pub fn chain_of(&self, counts: impl Fn(u32) -> bool) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (number, step) in (0..).zip(&self.steps) {
+            let length = if counts(number) {
+                step.estimate
+            } else {
+                Duration::ZERO
+            };
             let begin = step
                 .after
                 .iter()
@@ -197,7 +208,7 @@
                 .max()
                 .copied()
                 .unwrap_or_default();
-            ends.push(begin + step.estimate);
+            ends.push(begin + length);
         }
         ends.into_iter().max().unwrap_or_default()
     }
