Probe suspected VMs although lasting tasks run there; name lasting tasks that wait

Cause: a VM on which two jobs had failed took nothing until all that ran there had ended; with lasting tasks that is never. Change: one probe at a time counts what was placed since, not what lasts.

--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -30,6 +30,12 @@
 /// Longest time between two rounds of placement.
 const PLACE_LIMIT: Duration = Duration::from_millis(250);
 
+/// Time between two lines about lasting tasks that wait.
+const DESCRIBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Lasting tasks that such a line names at the most.
+const DESCRIBE_LIMIT: usize = 8;
+
 /// Messages that wait for a slow agent; later ones say the same anew.
 const LINK_QUEUE: usize = 4;
 
@@ -87,6 +93,7 @@
         version: seat.version,
         answers: BTreeMap::new(),
         placed_at: MonoTime::default(),
+        described_at: MonoTime::default(),
         wants_placing: true,
         commits: JoinSet::new(),
     };
@@ -184,6 +191,7 @@
     version: u64,
     answers: BTreeMap<String, mpsc::Sender<v1::VmOrders>>,
     placed_at: MonoTime,
+    described_at: MonoTime,
     wants_placing: bool,
     commits: JoinSet<CommitEnd>,
 }
@@ -283,6 +291,15 @@
             self.scheduler.release();
         }
         self.wants_placing |= now.since(self.placed_at) > PLACE_LIMIT;
+        if now.since(self.described_at) > DESCRIBE_INTERVAL {
+            self.described_at = now;
+            let missing = self.scheduler.describe_missing(DESCRIBE_LIMIT);
+            if !missing.is_empty() {
+                info!("lasting tasks wait", kv: {
+                    tasks = missing, rooms = self.scheduler.describe_rooms(now)
+                });
+            }
+        }
     }
 
     /// Places, writes and tells, as far as each is due.
--- a/crates/turmeric-jobs/src/scheduler/load.rs
+++ b/crates/turmeric-jobs/src/scheduler/load.rs
@@ -37,6 +37,18 @@
         text
     }
 
+    /// Names lasting tasks that run nowhere, for the log; at most `limit`.
+    pub fn describe_missing(&self, limit: usize) -> String {
+        let missing = self
+            .jobs
+            .values()
+            .filter(|job| !job.phase.is_over() && job.spec.is_lasting())
+            .flat_map(|job| &job.tasks)
+            .filter(|(_, state)| state.place.is_none());
+        let names = missing.map(|(name, state)| format!("{name} after run {}", state.run));
+        names.take(limit).collect::<Vec<_>>().join(", ")
+    }
+
     /// Returns the load of each queue that has jobs.
     pub(super) fn queue_loads(&self, wall: WallTime) -> Vec<v1::QueueLoad> {
         let mut sums: BTreeMap<&str, QueueSum> = BTreeMap::new();
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -236,6 +236,7 @@
             let mut held = HeldRun::recorded(run_place, step);
             held.revision = revision;
             held.moved_at = now;
+            held.placed_at = now;
             let key = RunKey {
                 task: place.task,
                 run: place.run,
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -42,6 +42,8 @@
     pub(crate) sent_at: Option<MonoTime>,
     /// Number of the first orders without the attempt, once it is not wanted.
     pub(crate) dropped_in: Option<u64>,
+    /// When this leader gave it to the VM.
+    pub(crate) placed_at: MonoTime,
     pub(crate) percent: u32,
     /// Since when it works at less than half of its speed.
     pub(crate) slowed_at: Option<MonoTime>,
@@ -64,6 +66,7 @@
             is_recalled: false,
             sent_at: None,
             dropped_in: None,
+            placed_at: MonoTime::default(),
             percent: 0,
             slowed_at: None,
             moved_at: MonoTime::default(),
@@ -172,7 +175,11 @@
     pub(crate) fn room(&self, name: &str, images: &PressureTable, now: MonoTime) -> Option<VmRoom> {
         let facts = self.facts.as_ref()?;
         let is_silent = now > self.heard_at.after(SILENCE_LIMIT);
-        let is_probed = self.is_suspect() && !self.held.is_empty();
+        let is_probed = self.is_suspect()
+            && self
+                .held
+                .values()
+                .any(|run| run.placed_at >= self.suspect_until);
         if !self.is_ready || is_silent || facts.is_draining || now < self.suspect_until || is_probed
         {
             return None;
