Move lasting and saved work off endpoints that drain

Change: while it drains, lasting tasks and those with checkpoints are recalled as far as others have room; the rest ends there.

--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -318,6 +318,7 @@
         }
         self.recall_stalled(now);
         self.recall_slowed(now);
+        self.recall_draining(now);
     }
 
     /// Recalls attempts that stand still, to go on elsewhere.
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -1,4 +1,7 @@
-//! Moving filling tasks that can hardly work where they are.
+//! Moving tasks that are better off elsewhere.
+//!
+//! Load pattern: an endpoint that drains ends all that it runs when it leaves. Its
+//! lasting tasks and those with checkpoints are moved while it still runs them.
 //!
 //! Load pattern: the serving tasks of a VM near the peak of their swing, while
 //! those of another VM are idle or of an image that is not pressed. A filling
@@ -44,12 +47,7 @@
         if slowed.is_empty() {
             return;
         }
-        let mut rooms: Vec<VmRoom> = self
-            .vms
-            .iter()
-            .filter(|(_, vm)| !self.closed_zones.contains(&vm.zone))
-            .filter_map(|(name, vm)| vm.room(name, &self.pressure, now))
-            .collect();
+        let mut rooms = self.open_rooms(now);
         let mut moved = 0;
         for (name, key) in slowed {
             if moved < MOVE_LIMIT && self.move_to_better(&name, key, &mut rooms) {
@@ -61,6 +59,39 @@
         }
     }
 
+    /// Recalls what runs on endpoints that drain, as far as others have room.
+    pub(super) fn recall_draining(&mut self, now: MonoTime) {
+        let leaving: Vec<(String, RunKey)> = self
+            .vms
+            .iter()
+            .filter(|(_, vm)| {
+                vm.is_ready && vm.facts.as_ref().is_some_and(|facts| facts.is_draining)
+            })
+            .flat_map(|(name, vm)| {
+                let held = vm.held.iter().filter(|(_, held)| !held.is_recalled);
+                held.map(|(key, _)| (name.clone(), *key))
+            })
+            .collect();
+        if leaving.is_empty() {
+            return;
+        }
+        let mut rooms = self.open_rooms(now);
+        for (name, key) in leaving {
+            if self.move_to_better(&name, key, &mut rooms) {
+                self.news.insert(name);
+            }
+        }
+    }
+
+    /// Returns what the VMs offer that take tasks.
+    fn open_rooms(&self, now: MonoTime) -> Vec<VmRoom> {
+        self.vms
+            .iter()
+            .filter(|(_, vm)| !self.closed_zones.contains(&vm.zone))
+            .filter_map(|(name, vm)| vm.room(name, &self.pressure, now))
+            .collect()
+    }
+
     /// Returns whether the task was recalled, another VM having room for it.
     fn move_to_better(&mut self, name: &str, key: RunKey, rooms: &mut [VmRoom]) -> bool {
         let Some(job) = self.jobs.get(&key.task.job) else {
@@ -70,7 +101,8 @@
             return false;
         };
         // Work that cannot be saved is not thrown away.
-        if !step.checkpoints || step.is_gang {
+        let is_movable = step.checkpoints || step.is_lasting;
+        if !is_movable || step.is_gang {
             return false;
         }
         let request = PlacementRequest {
