--- a/crates/turmeric-daemon/src/hosted.rs
+++ b/crates/turmeric-daemon/src/hosted.rs
@@ -9,6 +9,7 @@
 mod leadership;
 mod link;
 mod operator_feed;
+mod pacing;
 mod registry;
 mod view;
 mod worker_loop;
--- a/crates/turmeric-daemon/src/hosted/callers.rs
+++ b/crates/turmeric-daemon/src/hosted/callers.rs
@@ -11,8 +11,7 @@
 use tokio::sync::watch;
 use turmeric_jobs::{AdmissionDecision, JobCode, QueueDelay, admit};
 use turmeric_platform::{
-    OperatorConfig, QueueRoute, StoreClient, SubmissionError, read_submission, write_phase,
-    write_waiting,
+    OperatorConfig, QueueRoute, StoreClient, read_submission, write_phase, write_waiting,
 };
 
 use super::intake::{self, WriteOutcome};
@@ -121,7 +120,7 @@
     };
     let spec = match read_submission(&body, &route.policy, state.clock.wall()) {
         Ok(spec) => spec,
-        Err(error @ (SubmissionError::Format { .. } | SubmissionError::Spec(_))) => {
+        Err(error) => {
             info!("job refused", kv: { job = code.to_string(), reason = error.to_string() });
             return answer(StatusCode::BAD_REQUEST, String::new());
         }
--- a/crates/turmeric-daemon/src/run.rs
+++ b/crates/turmeric-daemon/src/run.rs
@@ -5,6 +5,7 @@
 use eyre::Result;
 use spdlog::{error, info};
 
+use tokio::runtime::Runtime;
 use turmeric_platform::BootSettings;
 
 use crate::config::{self, HostedConfig, ProcessConfig};
@@ -47,12 +48,29 @@
 
 fn run(config: ProcessConfig) -> Result<()> {
     match config {
+        ProcessConfig::Entry(config) => {
+            logging::init_logging(&config.common.log, config.id.as_str())?;
+            info!("entry starts", kv: { version = env!("CARGO_PKG_VERSION") });
+            standalone_runtime()?.block_on(entry::run(config))
+        }
+        ProcessConfig::Agent(config) => {
+            logging::init_logging(&config.common.log, config.worker.as_str())?;
+            info!("agent starts", kv: { version = env!("CARGO_PKG_VERSION") });
+            standalone_runtime()?.block_on(agent::run(config))
+        }
         ProcessConfig::HostedEntry(config) => run_hosted(config, hosted::run_entry),
         ProcessConfig::HostedAgent(config) => run_hosted(config, hosted::run_agent),
-        ProcessConfig::Entry(_) | ProcessConfig::Agent(_) => run_standalone(config),
     }
 }
 
+fn standalone_runtime() -> Result<Runtime> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()?;
+    Ok(runtime)
+}
+
 /// Runs a role of the users' platform, where a VM gives a part of one core.
 fn run_hosted<F>(config: HostedConfig, role: impl Fn(BootSettings) -> F) -> Result<()>
 where
@@ -66,26 +84,6 @@
     runtime.block_on(role(config.boot))
 }
 
-fn run_standalone(config: ProcessConfig) -> Result<()> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(WORKER_THREADS)
-        .enable_all()
-        .build()?;
-    match config {
-        ProcessConfig::Entry(config) => {
-            logging::init_logging(&config.common.log, config.id.as_str())?;
-            info!("entry starts", kv: { version = env!("CARGO_PKG_VERSION") });
-            runtime.block_on(entry::run(config))
-        }
-        ProcessConfig::Agent(config) => {
-            logging::init_logging(&config.common.log, config.worker.as_str())?;
-            info!("agent starts", kv: { version = env!("CARGO_PKG_VERSION") });
-            runtime.block_on(agent::run(config))
-        }
-        ProcessConfig::HostedEntry(_) | ProcessConfig::HostedAgent(_) => run(config),
-    }
-}
-
 fn exit_code(report: &eyre::Report) -> ExitCode {
     let is_port_taken = report.chain().any(|cause| {
         let is_io = cause
