--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -6,7 +6,9 @@
 mod world;
 
 use proptest::prelude::*;
-use world::{World, WorldEvent};
+use proptest::test_runner::{TestRng, TestRunner};
+use rstest::rstest;
+use world::{World, WorldEvent, WorldFault};
 
 /// Tasks that fit the three workers.
 const ROOM: usize = 12;
@@ -58,6 +60,37 @@
     ]
 }
 
+/// Schedules within which a deliberate fault has to be found.
+const FAULT_CASES: u32 = 600;
+
+/// The promises that a fault breaks are checked: each is found.
+#[rstest]
+#[case::two_places(WorldFault::ShortLease, "runs in two places")]
+#[case::overfilled(WorldFault::CapacityLie, "is overfilled")]
+#[case::forgotten(WorldFault::ForgetProgress, "")]
+#[case::started_again(WorldFault::ForgetAttempts, "started after its end was recorded")]
+fn a_deliberate_fault_is_found(#[case] fault: WorldFault, #[case] promise: &str) {
+    let config = ProptestConfig {
+        cases: FAULT_CASES,
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..ProptestConfig::default()
+    };
+    let rng = TestRng::deterministic_rng(config.rng_algorithm);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let schedules = proptest::collection::vec(event(), 5..40);
+    let found = runner.run(&schedules, |events| {
+        let mut world = World::with_fault(Some(fault));
+        for event in &events {
+            world.apply(event);
+            world.check()?;
+        }
+        Ok(())
+    });
+    let reason = found.expect_err("the fault was not found").to_string();
+    assert!(reason.contains(promise), "{reason}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
 
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -60,6 +60,19 @@
     },
 }
 
+/// A deliberate fault, to see that the checks can fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorldFault {
+    /// The leader takes leases for shorter than they are.
+    ShortLease,
+    /// Agents tell of more processors than there are, and workers take all.
+    CapacityLie,
+    /// A new leader does not read what was recorded.
+    ForgetProgress,
+    /// The worker forgets which attempts it has run.
+    ForgetAttempts,
+}
+
 /// What the store holds.
 #[derive(Default)]
 struct ModelStore {
@@ -87,6 +100,7 @@
     recorded_done: BTreeSet<TaskName>,
     /// Broken promises that a check at one moment cannot see.
     broken: Vec<String>,
+    fault: Option<WorldFault>,
 }
 
 fn spec(now: u64, lasts: bool) -> JobSpec {
@@ -129,6 +143,10 @@
 
 impl World {
     pub fn new() -> Self {
+        Self::with_fault(None)
+    }
+
+    pub fn with_fault(fault: Option<WorldFault>) -> Self {
         let names = ["w0", "w1", "w2"];
         let mut world = Self {
             now: 100_000,
@@ -140,7 +158,12 @@
             next_fence: 1,
             recorded_done: BTreeSet::new(),
             broken: Vec::new(),
+            fault,
         };
+        for worker in &mut world.workers {
+            worker.takes_all = fault == Some(WorldFault::CapacityLie);
+            worker.forgets = fault == Some(WorldFault::ForgetAttempts);
+        }
         for number in 0..names.len() {
             let agent = world.new_agent(number);
             world.agents.push(agent);
@@ -216,8 +239,12 @@
         }
         self.store.epoch += 1;
         self.store.sequence = 0;
+        let mut terms = TERMS;
+        if self.fault == Some(WorldFault::ShortLease) {
+            terms.lease = LeaseLimits::new(Duration::from_secs(1));
+        }
         let mut scheduler = JobScheduler::new(
-            TERMS,
+            terms,
             self.store.epoch,
             format!("entry-{entry}"),
             String::new(),
@@ -226,7 +253,12 @@
         for (code, spec) in &self.store.intake {
             scheduler.add_job(*code, spec.clone(), self.wall());
         }
-        for (code, value) in &self.store.progress {
+        let recorded = self
+            .store
+            .progress
+            .iter()
+            .filter(|_| self.fault != Some(WorldFault::ForgetProgress));
+        for (code, value) in recorded {
             let progress = v1::JobProgress::decode(value.as_slice()).unwrap();
             scheduler.restore_job(*code, progress);
         }
--- a/crates/turmeric-jobs/tests/world/worker.rs
+++ b/crates/turmeric-jobs/tests/world/worker.rs
@@ -44,6 +44,10 @@
     /// Orders without an answer: when they are carried out, fence and life.
     late: Vec<(u64, u64, Order)>,
     pub fail_all: bool,
+    /// Takes whatever it is told to start.
+    pub takes_all: bool,
+    /// Starts attempts again that have ended.
+    pub forgets: bool,
     /// Tasks that succeeded here, but for those whose end was not recorded before
     /// the lease lapsed: such an end binds nobody, by the platform's rules.
     pub succeeded: BTreeSet<TaskName>,
@@ -63,6 +67,8 @@
             next_end: 1,
             late: Vec::new(),
             fail_all: false,
+            takes_all: false,
+            forgets: false,
             succeeded: BTreeSet::new(),
         }
     }
@@ -76,7 +82,11 @@
             service: "verdikt".to_owned(),
             is_draining: false,
             capacity: ResourceSet::new(
-                CoreCount::from_millicores(WORKER_MILLICORES),
+                CoreCount::from_millicores(if self.takes_all {
+                    WORKER_MILLICORES * 2
+                } else {
+                    WORKER_MILLICORES
+                }),
                 MemorySize::new(64 << 30),
                 AcceleratorCount::new(0),
             ),
@@ -187,16 +197,17 @@
             }
             Order::Start { plan, deadline } => {
                 let key = plan.key;
-                let is_old = self
-                    .closed
-                    .get(&key.task)
-                    .is_some_and(|last| *last >= key.run);
+                let is_old = !self.forgets
+                    && self
+                        .closed
+                        .get(&key.task)
+                        .is_some_and(|last| *last >= key.run);
                 let is_late = *deadline <= self.clock(now);
                 if self.running.contains_key(&key) || is_old || is_late {
                     return None;
                 }
                 let used = self.running.len() as u64 * 2_000;
-                if used + 2_000 > WORKER_MILLICORES {
+                if used + 2_000 > WORKER_MILLICORES && !self.takes_all {
                     return None;
                 }
                 self.extend(*deadline, now);
