Check that the model of partitions can fail

Measured: of four deliberate faults each is found within 2,000 schedules of a fixed seed. Found: tasks of 2 s end before leases of 4 s do, so schedules hide two places at once unless tasks are longer; with a fault they last 20 s.

--- a/crates/turmeric-tasks/tests/schedules.rs
+++ b/crates/turmeric-tasks/tests/schedules.rs
@@ -6,7 +6,9 @@
 mod world;
 
 use proptest::prelude::*;
-use world::{World, WorldEvent};
+use proptest::test_runner::{TestCaseError, TestRng, TestRunner};
+use rstest::rstest;
+use world::{World, WorldEvent, WorldFault};
 
 fn event() -> impl Strategy<Value = WorldEvent> {
     let entry = 0..2_usize;
@@ -72,6 +74,41 @@
         prop_assert_eq!(world.unfinished(), 0);
     }
 }
+/// Schedules within which a deliberate fault has to be found.
+const FAULT_CASES: u32 = 2000;
+
+/// The checks can fail: each deliberate fault is found.
+#[rstest]
+#[case::two_places(WorldFault::LongLease, World::check_workers, "runs in two places")]
+#[case::overfilled(WorldFault::CapacityLie, World::check_workers, "more than it has")]
+#[case::closed_place(WorldFault::DeafEntries, World::check, "started in a closed place")]
+#[case::taken_early(WorldFault::LongLease, World::check, "taken back under a lease")]
+fn a_deliberate_fault_is_found(
+    #[case] fault: WorldFault,
+    #[case] check: fn(&World) -> Result<(), TestCaseError>,
+    #[case] promise: &str,
+) {
+    let config = ProptestConfig {
+        cases: FAULT_CASES,
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..ProptestConfig::default()
+    };
+    let rng = TestRng::deterministic_rng(config.rng_algorithm);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let schedules = proptest::collection::vec(event(), 10..60);
+    let found = runner.run(&schedules, |events| {
+        let mut world = World::with_fault(Some(fault));
+        for event in &events {
+            world.apply(event);
+            check(&world)?;
+        }
+        Ok(())
+    });
+    let reason = found.expect_err("the fault was not found").to_string();
+    assert!(reason.contains(promise), "{reason}");
+}
+
 /// Rounds in which everything works.
 fn rounds(count: usize) -> WorldEvent {
     WorldEvent::Rounds {
--- a/crates/turmeric-tasks/tests/world/mod.rs
+++ b/crates/turmeric-tasks/tests/world/mod.rs
@@ -72,6 +72,17 @@
     },
 }
 
+/// A deliberate fault, to see that the checks can fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorldFault {
+    /// Agents take leases for longer than they are.
+    LongLease,
+    /// Workers tell of twice the capacity that they have.
+    CapacityLie,
+    /// Entries do not learn that a place was closed.
+    DeafEntries,
+}
+
 /// One partition as the table has it.
 #[derive(Default)]
 struct ModelPartition {
@@ -120,6 +131,7 @@
     /// Attempts taken back while the worker held them under a lease.
     taken_early: Vec<TaskId>,
     acknowledged: BTreeSet<TaskId>,
+    fault: Option<WorldFault>,
 }
 
 /// Two teams whose partitions differ.
@@ -152,6 +164,10 @@
 
 impl World {
     pub fn new() -> Self {
+        Self::with_fault(None)
+    }
+
+    pub fn with_fault(fault: Option<WorldFault>) -> Self {
         let mut world = Self {
             now: MonoTime::from_millis(1000),
             table: ModelTable::default(),
@@ -165,9 +181,12 @@
             started_after_end: 0,
             taken_early: Vec::new(),
             acknowledged: BTreeSet::new(),
+            fault,
         };
         for number in 0..3 {
-            world.workers.push(ModelWorker::new(resources(8), number));
+            let mut worker = ModelWorker::new(resources(8), number);
+            worker.lies = fault == Some(WorldFault::CapacityLie);
+            world.workers.push(worker);
         }
         for _ in 0..2 {
             let entry = world.new_entry();
@@ -206,9 +225,14 @@
         let worker = &mut self.workers[number];
         worker.attach(incarnation);
         let status = worker.status(self.now);
+        let terms = if self.fault == Some(WorldFault::LongLease) {
+            LeaseTerms::new(Duration::from_secs(30))
+        } else {
+            TERMS
+        };
         let id: AgentId = format!("w{number}.{}", status.instance).parse().unwrap();
         ModelAgent {
-            tasks: AgentTasks::new(Incarnation::new(incarnation), TERMS, &status, 2),
+            tasks: AgentTasks::new(Incarnation::new(incarnation), terms, &status, 2),
             id,
             incarnation,
             actions: Vec::new(),
@@ -279,7 +303,7 @@
         v1::Announcement {
             worker: format!("w{agent}"),
             zone: "morava-a".to_owned(),
-            capacity: Some(write_resources(&self.workers[agent].capacity)),
+            capacity: Some(write_resources(&self.workers[agent].told_capacity())),
             ..v1::Announcement::default()
         }
     }
@@ -365,6 +389,12 @@
                 (agent.id.clone(), is_open)
             })
             .collect();
+        if self.fault == Some(WorldFault::DeafEntries) {
+            self.entries[entry]
+                .scheduler
+                .confirm(began_at, SettingsVersion::new(1));
+            return;
+        }
         self.entries[entry].closed = self.table.closed_since.keys().copied().collect();
         let scheduler = &mut self.entries[entry].scheduler;
         for partition in lost {
@@ -523,7 +553,8 @@
                     TaskClass::Batch
                 },
                 resources: resources(3),
-                work_millis: 2000,
+                // A task that outlasts the leases shows a fault in them.
+                work_millis: if self.fault.is_some() { 20_000 } else { 2_000 },
             },
             count: 2,
             submitted_at: WallTime::from_millis(self.now.as_millis()),
@@ -548,6 +579,19 @@
 
     /// Checks every promise on what the workers really did.
     pub fn check(&self) -> Result<(), TestCaseError> {
+        self.check_workers()?;
+        prop_assert_eq!(self.late_starts, 0, "a task started in a closed place");
+        prop_assert_eq!(self.started_after_end, 0, "a task started after its end");
+        prop_assert_eq!(
+            &self.taken_early,
+            &[],
+            "a task was taken back under a lease"
+        );
+        Ok(())
+    }
+
+    /// Checks what the workers run at this moment.
+    pub fn check_workers(&self) -> Result<(), TestCaseError> {
         let mut running: BTreeSet<TaskId> = BTreeSet::new();
         for worker in &self.workers {
             for task in worker.running() {
@@ -556,13 +600,6 @@
             prop_assert!(!worker.is_overfilled, "a VM was given more than it has");
             prop_assert!(!worker.has_repeated_start, "an attempt started twice");
         }
-        prop_assert_eq!(self.late_starts, 0, "a task started in a closed place");
-        prop_assert_eq!(self.started_after_end, 0, "a task started after its end");
-        prop_assert_eq!(
-            &self.taken_early,
-            &[],
-            "a task was taken back under a lease"
-        );
         Ok(())
     }
 
--- a/crates/turmeric-tasks/tests/world/worker.rs
+++ b/crates/turmeric-tasks/tests/world/worker.rs
@@ -19,6 +19,8 @@
     tasks: BTreeMap<TaskId, (WorkerTask, u64)>,
     last_attempts: BTreeMap<TaskId, AttemptNumber>,
     started: BTreeSet<(TaskId, AttemptNumber)>,
+    /// Tells of twice the capacity that there is.
+    pub lies: bool,
     pub is_overfilled: bool,
     pub has_repeated_start: bool,
 }
@@ -40,11 +42,19 @@
             tasks: BTreeMap::new(),
             last_attempts: BTreeMap::new(),
             started: BTreeSet::new(),
+            lies: false,
             is_overfilled: false,
             has_repeated_start: false,
         }
     }
 
+    pub fn told_capacity(&self) -> ResourceSet {
+        if self.lies {
+            return self.capacity.checked_add(&self.capacity).unwrap();
+        }
+        self.capacity
+    }
+
     pub fn reboot(&mut self, instance: u32, now: MonoTime) {
         self.instance = instance;
         self.incarnation = 0;
@@ -99,7 +109,7 @@
         WorkerStatus {
             instance: self.instance,
             clock: self.clock(now),
-            capacity: self.capacity,
+            capacity: self.told_capacity(),
             incarnation: Incarnation::new(self.incarnation),
             tasks: self
                 .tasks
