--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -9,7 +9,7 @@
 use spdlog::{info, warn};
 use tokio::sync::Notify;
 use turmeric_jobs::{EndpointLife, PaceControl, PressureSample, RunKey, RunTable, VmReport};
-use turmeric_platform::{BootSettings, CallClient, RegistryPing, StoreClient, WorkerCalls};
+use turmeric_platform::{BootSettings, CallClient, RegistryHeartbeat, StoreClient, WorkerCalls};
 use turmeric_schema::v1;
 use turmeric_types::{MonoTime, SplitRandom};
 
@@ -68,7 +68,7 @@
     pub(crate) reading: Option<turmeric_jobs::ClockReading>,
     /// Latest deadline that the worker may have been given, by its clock.
     pub(crate) deadline_millis: u64,
-    ping_sequence: u64,
+    heartbeat_sequence: u64,
     /// The worker did not answer the last hold.
     pub(crate) is_silent: bool,
 }
@@ -82,17 +82,17 @@
     }
 
     /// Takes in a heartbeat; one that a later one has overtaken is ignored.
-    pub(crate) fn take_ping(&self, ping: RegistryPing) {
+    pub(crate) fn take_heartbeat(&self, heartbeat: RegistryHeartbeat) {
         let mut core = self.core();
-        let is_same = core.table.life() == Some(&ping.facts.life);
-        if is_same && ping.sequence <= core.ping_sequence {
+        let is_same = core.table.life() == Some(&heartbeat.facts.life);
+        if is_same && heartbeat.sequence <= core.heartbeat_sequence {
             return;
         }
-        let is_draining = ping.facts.is_draining;
-        let life = ping.facts.life.clone();
-        let is_new = core.table.take_facts(ping.facts);
+        let is_draining = heartbeat.facts.is_draining;
+        let life = heartbeat.facts.life.clone();
+        let is_new = core.table.take_facts(heartbeat.facts);
         if core.table.life() == Some(&life) {
-            core.ping_sequence = ping.sequence;
+            core.heartbeat_sequence = heartbeat.sequence;
         }
         if is_new {
             core.begin_life();
--- a/crates/turmeric-daemon/src/hosted/callers.rs
+++ b/crates/turmeric-daemon/src/hosted/callers.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 use turmeric_jobs::{AdmissionDecision, JobCode, QueueDelay, admit};
 use turmeric_platform::{
-    OperatorConfig, QueueRoute, StoreClient, read_submission, write_phase, write_waiting,
+    OperatorConfig, QueueRoute, StoreClient, read_job, write_phase, write_waiting,
 };
 
 use super::intake::{self, WriteOutcome};
@@ -118,7 +118,7 @@
     let Ok(body) = to_bytes(request.into_body(), limit).await else {
         return answer(StatusCode::PAYLOAD_TOO_LARGE, String::new());
     };
-    let spec = match read_submission(&body, &route.policy, state.clock.wall()) {
+    let spec = match read_job(&body, &route.policy, state.clock.wall()) {
         Ok(spec) => spec,
         Err(error) => {
             info!("job refused", kv: { job = code.to_string(), reason = error.to_string() });
--- a/crates/turmeric-daemon/src/hosted/registry.rs
+++ b/crates/turmeric-daemon/src/hosted/registry.rs
@@ -11,7 +11,7 @@
 use eyre::{Result, WrapErr};
 use spdlog::{info, warn};
 use tokio::net::TcpListener;
-use turmeric_platform::read_ping;
+use turmeric_platform::read_heartbeat;
 
 use super::agent::AgentState;
 
@@ -32,14 +32,14 @@
     Path(endpoint): Path<String>,
     body: Bytes,
 ) -> StatusCode {
-    let ping = match read_ping(&endpoint, &body) {
-        Ok(ping) => ping,
+    let heartbeat = match read_heartbeat(&endpoint, &body) {
+        Ok(heartbeat) => heartbeat,
         Err(error) => {
             warn!("heartbeat ignored", kv: { endpoint = endpoint, reason = error.to_string() });
             return StatusCode::BAD_REQUEST;
         }
     };
-    state.take_ping(ping);
+    state.take_heartbeat(heartbeat);
     StatusCode::OK
 }
 
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -24,7 +24,7 @@
 const HOLD_GAP: Duration = Duration::from_millis(15);
 
 /// Added to the wall clock where a higher fence is found, in milliseconds: the
-/// clocks of these machines jump by up to 2 s.
+/// clocks of these VMs jump by up to 2 s.
 const FENCE_STEP: u64 = 10_000;
 
 /// Longest lease that is given at a time: long enough for an agent that is
