Let agents leave a leader that the store no longer answers

Change: orders say for how long the store has confirmed nothing; beyond 1.5 s agents read the leader's row and go to a newer epoch.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -33,6 +33,9 @@
 /// Wait before the leader's row is read again.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time between two readings of the leader's row while another entry may lead.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Time for calls in progress when the process is told to stop.
 const STOP_TERM: Duration = Duration::from_millis(300);
 
@@ -195,7 +198,7 @@
                 Ok((reader, writer)) => {
                     info!("linked to the leader", kv: { address = address.to_string() });
                     was_linked = true;
-                    let ended = keep_link(&state, reader, writer).await;
+                    let ended = keep_link(&state, &store, reader, writer).await;
                     warn!("leader lost", kv: { reason = format!("{:#}", ended) });
                 }
                 Err(error) => {
@@ -215,6 +218,7 @@
 /// Reports and takes orders until the link fails; returns why.
 async fn keep_link(
     state: &AgentState,
+    store: &StoreClient,
     mut reader: LinkReader,
     mut writer: LinkWriter,
 ) -> eyre::Report {
@@ -252,6 +256,27 @@
     tokio::select! {
         ended = send => ended,
         ended = receive => ended,
+        ended = find_successor(state, store) => ended,
+    }
+}
+
+/// Waits until another entry leads than the one that the agent follows.
+async fn find_successor(state: &AgentState, store: &StoreClient) -> eyre::Report {
+    loop {
+        tokio::time::sleep(DOUBT_INTERVAL).await;
+        if !state.core().table.doubts_leader() {
+            continue;
+        }
+        match store.read_one(LEADER_TABLE, LEADER_KEY, CALL_TIMEOUT).await {
+            Ok(Some(row)) => {
+                let epoch = read_leader(&row).epoch;
+                if epoch > state.core().table.epoch() {
+                    return eyre!("epoch {epoch} leads");
+                }
+            }
+            Ok(None) => {}
+            Err(error) => info!("leader not looked up", kv: { reason = error.to_string() }),
+        }
     }
 }
 
--- a/crates/turmeric-jobs/src/runs.rs
+++ b/crates/turmeric-jobs/src/runs.rs
@@ -20,6 +20,10 @@
 /// (bound of the platform: 5 s, of which 3 s are left for the rest of the way).
 const ORDER_TERM: Duration = Duration::from_millis(1500);
 
+/// A leader to which the store has confirmed nothing for this long may have been
+/// replaced: it writes every 700 ms, and others take over after 2.2 s.
+const STORE_SILENCE_LIMIT: Duration = Duration::from_millis(1500);
+
 /// Share of its speed at which a task starts, in percent.
 const FULL_PACE: u32 = 100;
 
@@ -124,6 +128,8 @@
     epoch: u64,
     taken_orders: u64,
     light_pairs: BTreeSet<ImagePair>,
+    /// For how long the store had confirmed nothing to the leader.
+    store_silence: Duration,
     grant: Option<LeaseGrant>,
     /// This agent knew an earlier life of the endpoint and has not seen a list of
     /// the present one: what runs there answers an order for the earlier life.
@@ -144,6 +150,14 @@
         self.epoch
     }
 
+    /// Returns whether another entry may lead by now.
+    ///
+    /// Load pattern: a leader that is cut off from the store and from nothing else.
+    /// Its agents would keep to it, and nothing new would start, until it gives up.
+    pub fn doubts_leader(&self) -> bool {
+        self.store_silence > STORE_SILENCE_LIMIT
+    }
+
     /// Returns what the endpoint last said of itself.
     pub fn facts(&self) -> Option<&EndpointFacts> {
         self.facts.as_ref()
@@ -251,6 +265,7 @@
             return Ok(false);
         }
         self.epoch = orders.epoch;
+        self.store_silence = Duration::from_millis(orders.store_silence_millis);
         let is_present = self
             .life()
             .is_some_and(|life| life.endpoint == orders.endpoint && life.born == orders.born);
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -74,6 +74,7 @@
             keep: keep.iter().map(write_key).collect(),
             recorded_end: vm.recorded_end(),
             sequence,
+            store_silence_millis: now.since(self.committed_at).as_millis() as u64,
             light_pairs: self
                 .pressure
                 .light_pairs()
--- a/crates/turmeric-jobs/tests/leaving.rs
+++ b/crates/turmeric-jobs/tests/leaving.rs
@@ -6,7 +6,7 @@
 
 use turmeric_jobs::{
     CommitPlan, EndKind, EndpointFacts, EndpointLife, JobCode, JobScheduler, JobSpec, LeaderTerms,
-    LeaseLimits, QueuePolicy, RunEnd, RunKey, RunStatus, StepSpec, VmReport, read_key,
+    LeaseLimits, QueuePolicy, RunEnd, RunKey, RunStatus, RunTable, StepSpec, VmReport, read_key,
 };
 use turmeric_schema::{Message, v1};
 use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
@@ -262,3 +262,26 @@
     let own = loads(now.after(Duration::from_millis(1600)));
     assert_eq!((own[0].waiting, own[0].delay_millis), (1, 0));
 }
+
+/// A leader that is cut off from the store, but not from its agents, says so in
+/// time for them to find the next one.
+#[test]
+fn agents_doubt_a_leader_to_which_the_store_confirms_nothing() {
+    let mut pair = RunningPair::new();
+    let facts = report("a", false, 1000, Vec::new()).facts.unwrap();
+    let mut table = RunTable::new();
+    table.take_facts(facts);
+    table.set_synced();
+    let mut doubts = |leader: &mut JobScheduler, now: MonoTime| {
+        let orders = leader.orders("a", now).unwrap();
+        assert!(table.take_orders(&orders, now).unwrap());
+        table.doubts_leader()
+    };
+    let calm = pair.now.after(Duration::from_millis(1000));
+    assert!(!doubts(&mut pair.leader, calm));
+    let late = pair.now.after(Duration::from_millis(1600));
+    assert!(doubts(&mut pair.leader, late));
+    let plan = pair.leader.begin_commit(late, pair.wall).unwrap();
+    pair.leader.commit_done(&plan, late);
+    assert!(!doubts(&mut pair.leader, late));
+}
