Account a listed attempt to the life that runs it

Found by scripts/schedules (1 in about 20,000 schedules): a task ran in two places. An agent that had not heard of a rebirth started it in the new life; its first list of that life showed it, and the leader freed what the earlier life had been given all the same. Change: what the first report of a life lists is accounted to that life until it has ended there. Before: the case fails. After: it passes, with 6 of 6 tests of the file.

--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -59,6 +59,7 @@
         if !report.is_synced {
             return;
         }
+        self.move_listed(&report);
         self.lose_other_lives(&name);
         self.take_ends(&report, now, wall);
         for key in &report.refused {
@@ -221,6 +222,42 @@
         self.touch(key.task.job);
     }
 
+    /// Accounts attempts of an earlier life to the present one if it lists them.
+    ///
+    /// An agent that has not heard of a rebirth yet starts tasks in the new life;
+    /// until they are stopped there, they run nowhere else.
+    fn move_listed(&mut self, report: &VmReport) {
+        let Some(vm) = self.vms.get_mut(&report.vm) else {
+            return;
+        };
+        let Some(life) = vm.facts.as_ref().map(|facts| facts.life.clone()) else {
+            return;
+        };
+        let mut moved = Vec::new();
+        for run in &report.runs {
+            let Some(held) = vm.held.get_mut(&run.key) else {
+                continue;
+            };
+            if held.place.life != life {
+                let earlier = held.place.clone();
+                held.place.life = life.clone();
+                moved.push((run.key, earlier, held.place.clone()));
+            }
+        }
+        for (key, earlier, place) in moved {
+            let state = self
+                .jobs
+                .get_mut(&key.task.job)
+                .and_then(|job| job.tasks.get_mut(&key.task));
+            if let Some(state) = state
+                && state.place.as_ref() == Some(&earlier)
+            {
+                state.place = Some(place);
+                self.touch(key.task.job);
+            }
+        }
+    }
+
     fn lose_other_lives(&mut self, name: &str) {
         self.lose_where(name, |vm, held| !vm.is_life(&held.place));
     }
