Keep every end until what is known of its job is recorded

Cause: the end of one member of a gang makes all done; the ends of the others changed nothing, so agents were told to forget them before the store knew of the first. Ruled out: two leaders of one epoch; a refusal by the agent.

--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -104,10 +104,13 @@
         let code = end.key.task.job;
         if self.apply_end(end, held.as_ref(), wall) {
             self.touch(code);
-            let revision = self.jobs.get(&code).map_or(0, |job| job.revision);
-            if let Some(vm) = self.vms.get_mut(name) {
-                vm.unrecorded.insert(end.number, (code, revision));
-            }
+        }
+        // An end that changes nothing may still be all that a later leader learns,
+        // if what made the job over is not in the store.
+        if let (Some(job), Some(vm)) = (self.jobs.get(&code), self.vms.get_mut(name))
+            && job.recorded < job.revision
+        {
+            vm.unrecorded.insert(end.number, (code, job.revision));
         }
     }
 
--- a/crates/turmeric-jobs/tests/leaving.rs
+++ b/crates/turmeric-jobs/tests/leaving.rs
@@ -285,3 +285,46 @@
     pair.leader.commit_done(&plan, late);
     assert!(!doubts(&mut pair.leader, late));
 }
+
+/// The end of one member is the end of all, so the ends of the others change
+/// nothing; agents keep them all the same until the store knows of the first.
+#[test]
+fn agents_keep_every_end_of_a_gang_until_one_is_recorded() {
+    let (now, wall) = (MonoTime::from_millis(1000), WallTime::from_millis(1000));
+    let mut leader = leader(1, now);
+    let mut spec = job(false);
+    spec.steps[0].count = 2;
+    spec.steps[0].is_gang = true;
+    spec.steps[0].need.cores = CoreCount::from_millicores(5000);
+    leader.add_job(JobCode::new(1), spec, wall);
+    for vm in ["a", "b"] {
+        leader.take_report(report(vm, false, 1000, Vec::new()), now, wall);
+    }
+    assert_eq!(leader.place(now, wall), 2);
+    let now = now.after(Duration::from_millis(100));
+    let plan = leader.begin_commit(now, wall).unwrap();
+    leader.commit_done(&plan, now);
+    let members = ["a", "b"].map(|vm| {
+        let keep = leader.orders(vm, now).unwrap().keep;
+        (vm, read_key(keep.first()).unwrap())
+    });
+    for (vm, key) in members {
+        let done = VmReport {
+            ends: vec![RunEnd {
+                number: 1,
+                key,
+                kind: EndKind::Done,
+                checkpoint: String::new(),
+            }],
+            ..report(vm, false, 1200, Vec::new())
+        };
+        leader.take_report(done, now, wall);
+        assert_eq!(leader.orders(vm, now).unwrap().recorded_end, 0, "{vm}");
+    }
+    let now = now.after(Duration::from_millis(100));
+    let plan = leader.begin_commit(now, wall).unwrap();
+    leader.commit_done(&plan, now);
+    for vm in ["a", "b"] {
+        assert_eq!(leader.orders(vm, now).unwrap().recorded_end, 1, "{vm}");
+    }
+}
