Log each decision of the leader, serve metrics, explain a job from logs

Logs: placements, ends, recalls, losses and ends of jobs with what decided them; successes sampled, failures not; a thread writes them and drops what nobody reads.

--- a/crates/turmeric-ctl/src/command.rs
+++ b/crates/turmeric-ctl/src/command.rs
@@ -4,6 +4,7 @@
 mod completions;
 mod edit;
 mod experiment;
+mod explain;
 mod homes;
 mod jobs;
 mod learned;
@@ -67,6 +68,7 @@
         .subcommand(tasks::build())
         .subcommand(learned::build())
         .subcommand(timeline::build())
+        .subcommand(explain::build())
         .subcommand(completions::build())
 }
 
@@ -84,6 +86,7 @@
         Some(("learned", _)) => learned::run(&context).await,
         Some(("tasks", matches)) => tasks::run(&context, matches).await,
         Some(("timeline", matches)) => timeline::run(&context, matches).await,
+        Some(("explain", matches)) => explain::run(&context, matches),
         Some(("completions", matches)) => completions::run(matches),
         _ => Ok(()),
     }
--- /dev/null
+++ b/crates/turmeric-ctl/tests/explain.rs
@@ -0,0 +1,110 @@
+//! The cause of a failed job, told from logs.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+use rstest::rstest;
+
+const JOB: &str = "5c0e7a21d94b36f8";
+
+fn line(millis: u64, process: &str, what: &str, fields: &str) -> String {
+    format!(
+        "{{\"level\":\"info\",\"timestamp\":{millis},\"payload\":\"{what}\",\"kv\":{{{fields}}},\
+         \"logger\":\"{process}\",\"tid\":7}}\n"
+    )
+}
+
+fn explain(id: &str, logs: &str, flags: &[&str]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_turmericctl"))
+        .args(["explain", id])
+        .args(flags)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child
+        .stdin
+        .take()
+        .unwrap()
+        .write_all(logs.as_bytes())
+        .unwrap();
+    child.wait_with_output().unwrap()
+}
+
+fn job_line(millis: u64, what: &str, fields: &str) -> String {
+    line(
+        millis,
+        "entry-1",
+        what,
+        &format!("\"job\":\"{JOB}\",{fields}"),
+    )
+}
+
+#[rstest]
+#[case::refused(
+    vec![job_line(10, "job refused", "\"delay_ms\":9100,\"age_ms\":40,\"retry_after_ms\":4000")],
+    "refused: 9100 ms of work were ahead of it, by a figure 40 ms old"
+)]
+#[case::unknown(
+    vec![
+        line(5, "entry-1", "store lost", "\"reason\":\"nothing within 900 ms\""),
+        job_line(10, "job sent", "\"outcome\":\"Unknown\""),
+    ],
+    "outcome unknown: the store did not answer; store lost at entry-1: nothing within 900 ms"
+)]
+#[case::late(
+    vec![
+        // The agent's line came first; the order of files says nothing.
+        job_line(9000, "job over", "\"phase\":\"done\",\"age_ms\":8000,\"objective_ms\":5000"),
+        line(4000, "entry-2", "attempt lost",
+            &format!("\"task\":\"{JOB}.0.0.3\",\"run\":1,\"vm\":\"b-1\",\"cause\":\"lease_over\"")),
+        job_line(1000, "job sent", "\"outcome\":\"Stored\""),
+        job_line(4500, "tasks placed", "\"age_ms\":3500,\"tasks\":8"),
+    ],
+    "late by 3000 ms: waited 3500 ms for room, 1 x attempt lost (lease_over)"
+)]
+#[case::failed(
+    vec![job_line(9, "job over", "\"phase\":\"failed\",\"age_ms\":8,\"objective_ms\":9,\"failures\":4")],
+    "failed: 4 attempts failed"
+)]
+fn the_last_line_names_the_cause(#[case] logs: Vec<String>, #[case] cause: &str) {
+    let output = explain(JOB, &logs.concat(), &[]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(output.status.success());
+    assert_eq!(text.lines().last().unwrap(), format!("cause: {cause}"));
+}
+
+#[test]
+fn lines_of_other_jobs_and_what_is_no_line_are_left_out() {
+    let logs = [
+        "not a line\n".to_owned(),
+        "{\"half\": \n".to_owned(),
+        job_line(10, "job sent", "\"outcome\":\"Stored\""),
+        line(
+            11,
+            "entry-1",
+            "job over",
+            "\"job\":\"00000000000000ff\",\"phase\":\"failed\"",
+        ),
+    ];
+    let output = explain(JOB, &logs.concat(), &["--json"]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    let value: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(value["lines"].as_array().unwrap().len(), 1);
+    assert_eq!(value["cause"], "accepted, and nothing was placed yet");
+}
+
+#[test]
+fn an_unknown_job_and_a_missing_file_have_exit_codes_of_their_own() {
+    assert_eq!(explain(JOB, "", &[]).status.code(), Some(3));
+    let missing = explain(JOB, "", &["--log", "/missing-1", "--log", "/missing-2"]);
+    assert_eq!(missing.status.code(), Some(2));
+    let text = String::from_utf8(missing.stderr).unwrap();
+    assert!(
+        text.contains("/missing-1") && text.contains("/missing-2"),
+        "{text}"
+    );
+}
--- a/crates/turmeric-daemon/src/config/hosted.rs
+++ b/crates/turmeric-daemon/src/config/hosted.rs
@@ -1,5 +1,7 @@
 //! Settings of the roles on the users' platform.
 
+use std::net::SocketAddr;
+
 use clap::ArgMatches;
 use spdlog::Level;
 use turmeric_platform::BootSettings;
@@ -9,11 +11,20 @@
 use super::options::LogLevel;
 use super::reader::FlagReader;
 
-pub(crate) const HOSTED_FLAGS: &[FlagSpec] = &[FlagSpec {
-    name: "log-level",
-    default: Some("info"),
-    help: "Least severe level to log: error, warn, info, debug or trace",
-}];
+pub(crate) const HOSTED_FLAGS: &[FlagSpec] = &[
+    FlagSpec {
+        name: "log-level",
+        default: Some("info"),
+        help: "Least severe level to log: error, warn, info, debug or trace",
+    },
+    // The second of the ports that published deployments leave to daemons; the
+    // first is for links.
+    FlagSpec {
+        name: "metrics-port",
+        default: Some("7721"),
+        help: "Port of this VM's IP address on which /metrics is served",
+    },
+];
 
 /// Settings of a role on the users' platform.
 #[derive(Clone, Debug)]
@@ -22,6 +33,8 @@
     pub(crate) boot: BootSettings,
     /// Least severe level to log.
     pub(crate) level: Level,
+    /// Where metrics are served.
+    pub(crate) metrics: SocketAddr,
 }
 
 impl HostedConfig {
@@ -33,9 +46,11 @@
     pub(crate) fn read(matches: &ArgMatches) -> Result<Self, FindingList> {
         let mut reader = FlagReader::new(matches);
         let level = reader.value::<LogLevel>("log-level");
+        let port = reader.value::<u16>("metrics-port");
         let mut findings = reader.findings;
         let boot = findings.collect("the platform's settings", BootSettings::from_environment());
-        let config = level.zip(boot).map(|(level, boot)| Self {
+        let config = level.zip(port).zip(boot).map(|((level, port), boot)| Self {
+            metrics: SocketAddr::new(boot.ip, port),
             boot,
             level: level.0,
         });
--- a/crates/turmeric-daemon/src/hosted.rs
+++ b/crates/turmeric-daemon/src/hosted.rs
@@ -3,11 +3,13 @@
 
 mod agent;
 mod callers;
+mod decision_log;
 mod entry;
 mod intake;
 mod leader;
 mod leadership;
 mod link;
+mod meters;
 mod operator_feed;
 mod pacing;
 mod registry;
--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -9,16 +9,18 @@
 use spdlog::{info, warn};
 use tokio::sync::Notify;
 use turmeric_jobs::{EndpointLife, PaceControl, PressureSample, RunKey, RunTable, VmReport};
-use turmeric_platform::{BootSettings, CallClient, RegistryHeartbeat, StoreClient, WorkerCalls};
+use turmeric_platform::{CallClient, RegistryHeartbeat, StoreClient, WorkerCalls};
 use turmeric_schema::v1;
 use turmeric_types::{MonoTime, SplitRandom};
 
 use super::ProcessSignals;
 use super::leadership::{CALL_TIMEOUT, LEADER_KEY, LEADER_TABLE, read_leader};
 use super::link::{LinkReader, LinkWriter, connect};
+use super::meters::{ProcessMeters, serve_meters};
 use super::registry::serve_registry;
 use super::worker_loop::{run_calls, run_holds};
 use crate::clock::ProcessClock;
+use crate::config::HostedConfig;
 
 /// Time between two reports when nothing is new.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
@@ -45,6 +47,7 @@
     pub(crate) zone: String,
     pub(crate) clock: ProcessClock,
     pub(crate) worker: WorkerCalls,
+    pub(crate) meters: Arc<ProcessMeters>,
     core: Mutex<AgentCore>,
     /// Something has to be reported.
     pub(crate) news: Notify,
@@ -146,7 +149,8 @@
 }
 
 /// Runs an agent until SIGTERM.
-pub(crate) async fn run_agent(boot: BootSettings) -> Result<()> {
+pub(crate) async fn run_agent(config: HostedConfig) -> Result<()> {
+    let boot = config.boot;
     let mut signals = ProcessSignals::new()?;
     let registry = boot
         .registry
@@ -155,7 +159,10 @@
         .endpoint
         .ok_or_else(|| eyre!("no address of the endpoint"))?;
     let client = CallClient::new();
+    let meters = Arc::new(ProcessMeters::new());
+    tokio::spawn(serve_meters(config.metrics, Arc::clone(&meters)));
     let state = Arc::new(AgentState {
+        meters,
         vm: boot.vm.clone(),
         zone: boot.zone.clone(),
         clock: ProcessClock::new(),
@@ -227,6 +234,8 @@
             let report = {
                 let now = state.clock.now();
                 let core = state.core();
+                let held = core.table.run_count() as i64;
+                state.meters.held_attempts.set(held);
                 VmReport {
                     pressure: core.pressure.clone(),
                     ..core.table.report(&state.vm, &state.zone, now)
--- a/crates/turmeric-daemon/src/hosted/callers.rs
+++ b/crates/turmeric-daemon/src/hosted/callers.rs
@@ -15,6 +15,7 @@
 };
 
 use super::intake::{self, WriteOutcome};
+use super::meters::ProcessMeters;
 use super::view::{LeaderView, OperatorView};
 use crate::clock::ProcessClock;
 
@@ -30,6 +31,7 @@
     pub(crate) operators: watch::Receiver<OperatorView>,
     pub(crate) leader: watch::Receiver<LeaderView>,
     pub(crate) clock: ProcessClock,
+    pub(crate) meters: Arc<ProcessMeters>,
     /// The process is about to stop; connections are closed after each answer.
     pub(crate) is_stopping: AtomicBool,
 }
@@ -39,7 +41,13 @@
     State(state): State<Arc<CallerState>>,
     request: Request<Body>,
 ) -> Response<Body> {
+    let began_at = state.clock.now();
+    let method = method_word(request.method());
     let mut response = serve(&state, request).await;
+    let term = state.clock.now().since(began_at);
+    state
+        .meters
+        .count_request(method, response.status().as_u16(), term);
     if state.is_stopping.load(Ordering::Relaxed) {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -47,6 +55,16 @@
     response
 }
 
+/// Returns the name of a method; callers could send any other word.
+fn method_word(method: &Method) -> &'static str {
+    match *method {
+        Method::GET => "get",
+        Method::POST => "post",
+        Method::DELETE => "delete",
+        _ => "other",
+    }
+}
+
 async fn serve(state: &CallerState, request: Request<Body>) -> Response<Body> {
     let config = state.operators.borrow().config.clone();
     let Some(config) = config else {
--- a/crates/turmeric-daemon/src/hosted/entry.rs
+++ b/crates/turmeric-daemon/src/hosted/entry.rs
@@ -19,9 +19,11 @@
 use super::callers::{CallerState, serve_caller};
 use super::leadership::{LeadContext, watch_lead};
 use super::link::open_link;
+use super::meters::{ProcessMeters, serve_meters};
 use super::operator_feed::follow_operators;
 use super::view::{LeaderView, OperatorView};
 use crate::clock::ProcessClock;
+use crate::config::HostedConfig;
 
 /// A lease is this much shorter than the longest that a worker takes, so that
 /// it is never cut.
@@ -49,7 +51,8 @@
 }
 
 /// Runs an entry until SIGTERM.
-pub(crate) async fn run_entry(boot: BootSettings) -> Result<()> {
+pub(crate) async fn run_entry(config: HostedConfig) -> Result<()> {
+    let boot = config.boot;
     let mut signals = ProcessSignals::new()?;
     let clock = ProcessClock::new();
     let callers_address = boot
@@ -62,7 +65,10 @@
     let store = StoreClient::new(CallClient::new(), boot.store);
     let (operator_sender, operators) = watch::channel(OperatorView::default());
     let (leader_sender, leader) = watch::channel(LeaderView::default());
+    let meters = Arc::new(ProcessMeters::new());
+    tokio::spawn(serve_meters(config.metrics, Arc::clone(&meters)));
     let callers = Arc::new(CallerState {
+        meters: Arc::clone(&meters),
         store: store.clone(),
         operators: operators.clone(),
         leader,
@@ -98,6 +104,7 @@
         operators,
         leader: leader_sender,
         callers: Arc::clone(&callers),
+        meters,
     };
     tokio::spawn(watch_lead(context, links));
     serve_readiness(readiness_address, Arc::clone(&callers)).await?;
--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -1,6 +1,7 @@
 //! The loop of the leading entry around its scheduler.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use turmeric_schema::{Message, v1};
 use turmeric_types::MonoTime;
 
+use super::decision_log::DecisionLog;
 use super::intake::{
     INTAKE_TABLE, IntakeRow, PROGRESS_TABLE, follow_intake, job_rows, read_intake,
 };
@@ -88,6 +90,7 @@
     let (report_sender, reports) = mpsc::channel(EVENT_QUEUE);
     let mut helpers = JoinSet::new();
     let scheduler = load(context, &seat, &intake_sender, &mut helpers).await;
+    context.meters.lead_epoch.set(seat.epoch as i64);
     info!("leads", kv: { epoch = seat.epoch, open_jobs = scheduler.open_jobs() });
     let mut loop_state = LeaderLoop {
         context,
@@ -98,6 +101,7 @@
         described_at: MonoTime::default(),
         wants_placing: true,
         commits: JoinSet::new(),
+        decisions: DecisionLog::default(),
     };
     let end = loop_state
         .run(intake, reports, links, &report_sender, &mut helpers)
@@ -197,6 +201,7 @@
     described_at: MonoTime,
     wants_placing: bool,
     commits: JoinSet<CommitEnd>,
+    decisions: DecisionLog,
 }
 
 impl LeaderLoop<'_> {
@@ -267,14 +272,6 @@
             }
         };
         self.wants_placing |= !report.ends.is_empty() || !report.refused.is_empty();
-        for end in &report.ends {
-            if !matches!(end.kind, turmeric_jobs::EndKind::Done) {
-                info!("attempt ended", kv: {
-                    task = end.key.task.to_string(), run = end.key.run.get(), vm = report.vm,
-                    number = end.number, end = format!("{:?}", end.kind)
-                });
-            }
-        }
         self.answers.insert(report.vm.clone(), linked.answers);
         let now = self.context.clock.now();
         self.scheduler
@@ -296,6 +293,8 @@
         self.wants_placing |= now.since(self.placed_at) > PLACE_LIMIT;
         if now.since(self.described_at) > DESCRIBE_INTERVAL {
             self.described_at = now;
+            let open_jobs = self.scheduler.open_jobs() as i64;
+            self.context.meters.open_jobs.set(open_jobs);
             let missing = self.scheduler.describe_missing(DESCRIBE_LIMIT);
             if !missing.is_empty() {
                 info!("lasting tasks wait", kv: {
@@ -312,22 +311,37 @@
         if self.wants_placing && now.since(self.placed_at) > PLACE_INTERVAL {
             self.wants_placing = false;
             self.placed_at = now;
-            let placed = self.scheduler.place(now, wall);
-            if placed > 0 {
-                info!("tasks placed", kv: { tasks = placed, open_jobs = self.scheduler.open_jobs(),
-                    rooms = self.scheduler.describe_rooms(now) });
-            }
+            self.scheduler.place(now, wall);
         }
+        self.write_notes(now);
         if let Some(plan) = self.scheduler.begin_commit(now, wall) {
             let store = self.context.store.clone();
-            self.commits
-                .spawn(commit(store, self.scheduler.epoch(), self.version, plan));
+            let (epoch, version) = (self.scheduler.epoch(), self.version);
+            let meters = Arc::clone(&self.context.meters);
+            let clock = self.context.clock;
+            self.commits.spawn(async move {
+                let end = commit(store, epoch, version, plan).await;
+                let term = clock.now().since(now);
+                meters.commit_seconds.observe(term.as_secs_f64());
+                end
+            });
         }
         for vm in self.scheduler.take_news() {
             self.send_orders(&vm, now);
         }
     }
 
+    fn write_notes(&mut self, now: MonoTime) {
+        let (notes, left_out) = self.scheduler.take_notes();
+        let meters = &self.context.meters;
+        for note in notes {
+            self.decisions.write(note, meters, now);
+        }
+        if left_out > 0 {
+            warn!("decisions not logged", kv: { lines = left_out });
+        }
+    }
+
     fn send_orders(&mut self, vm: &str, now: MonoTime) {
         // Without word from the store another entry may lead already; leases
         // are renewed only as long as a new leader waits for them to end.
--- a/crates/turmeric-daemon/src/hosted/leadership.rs
+++ b/crates/turmeric-daemon/src/hosted/leadership.rs
@@ -14,6 +14,7 @@
 use super::callers::CallerState;
 use super::leader::{LeadEnd, LeadSeat, run_leader};
 use super::link::{LinkReader, LinkWriter};
+use super::meters::ProcessMeters;
 use super::view::{LeaderView, OperatorView};
 use crate::clock::ProcessClock;
 
@@ -46,6 +47,7 @@
     pub(crate) operators: watch::Receiver<OperatorView>,
     pub(crate) leader: watch::Sender<LeaderView>,
     pub(crate) callers: Arc<CallerState>,
+    pub(crate) meters: Arc<ProcessMeters>,
 }
 
 /// A connection of an agent that has just arrived.
@@ -90,6 +92,8 @@
                     && let Some(seat) = take_over(&context, vacancy).await
                 {
                     let end = run_leader(&context, seat, &mut links).await;
+                    context.meters.lead_epoch.set(0);
+                    context.meters.open_jobs.set(0);
                     watcher = RowWatcher::default();
                     if end == LeadEnd::Released {
                         return;
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -12,6 +12,7 @@
 use turmeric_types::MonoTime;
 
 use super::agent::{AgentCore, AgentState};
+use super::meters::count;
 use super::pacing::pace;
 
 /// How long a hold waits for an end; leases are renewed at least as often.
@@ -258,6 +259,7 @@
             answer = format!("{answer:?}"), fence = fence
         });
     }
+    count(&state.meters.worker_calls, name, answer_word(answer));
     let now = state.clock.now();
     let mut core = state.core();
     if core.table.life() != Some(&life) {
@@ -276,6 +278,16 @@
     }
 }
 
+fn answer_word(answer: WorkerAnswer) -> &'static str {
+    match answer {
+        WorkerAnswer::Done => "done",
+        WorkerAnswer::Rejected => "rejected",
+        WorkerAnswer::Fenced => "fenced",
+        WorkerAnswer::OtherLife => "other_life",
+        WorkerAnswer::Unknown => "unknown",
+    }
+}
+
 fn start_answer(answer: WorkerAnswer) -> StartAnswer {
     match answer {
         WorkerAnswer::Done => StartAnswer::Started,
--- a/crates/turmeric-daemon/src/logging.rs
+++ b/crates/turmeric-daemon/src/logging.rs
@@ -1,11 +1,14 @@
 //! Structured logs: JSON lines, or a readable form.
 
-use std::sync::Arc;
+use std::num::NonZeroUsize;
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, OnceLock};
 
 use eyre::{Result, WrapErr};
+use prometheus_client::metrics::counter::Counter;
 use spdlog::formatter::{Formatter, FullFormatter, JsonFormatter};
-use spdlog::sink::{SinkPropAccess, StdStreamSink};
-use spdlog::{LevelFilter, Logger};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, SinkPropAccess, StdStreamSink};
+use spdlog::{ErrorHandler, LevelFilter, Logger, ThreadPool};
 
 use crate::config::{LogForm, LogOptions};
 
@@ -30,13 +33,40 @@
     Ok(())
 }
 
+/// Lines that wait to be written; at 300 bytes a line about a megabyte.
+const LINE_BACKLOG: NonZeroUsize = NonZeroUsize::new(4096).unwrap();
+
+static DROPPED_LINES: OnceLock<Counter<u64, AtomicU64>> = OnceLock::new();
+
+/// Returns the count of lines that were left out because nobody read them fast
+/// enough.
+pub(crate) fn dropped_lines() -> Counter<u64, AtomicU64> {
+    DROPPED_LINES.get_or_init(Counter::default).clone()
+}
+
 /// Sends all logs of this process to standard output, as JSON lines.
+///
+/// A thread writes them. When the reader stalls and the backlog is full, lines
+/// are left out and counted, so that nothing waits for the log.
 pub(crate) fn init_stdout(level: spdlog::Level, process: &str) -> Result<()> {
-    let sink = StdStreamSink::builder()
+    let stdout = StdStreamSink::builder()
         .stdout()
         .build()
         .wrap_err("opening the log")?;
-    sink.set_formatter(Box::new(JsonFormatter::new()));
+    stdout.set_formatter(Box::new(JsonFormatter::new()));
+    let pool = ThreadPool::builder()
+        .capacity(LINE_BACKLOG)
+        .build()
+        .wrap_err("starting the thread that writes the log")?;
+    let sink = AsyncPoolSink::builder()
+        .sink(Arc::new(stdout))
+        .thread_pool(Arc::new(pool))
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(ErrorHandler::new(|_| {
+            dropped_lines().inc();
+        }))
+        .build()
+        .wrap_err("preparing the log")?;
     let logger = Logger::builder()
         .name(process)
         .sink(Arc::new(sink))
@@ -46,3 +76,11 @@
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
+
+/// Writes what waits and takes no more lines; the last call of a process.
+pub(crate) fn close() -> Result<()> {
+    let empty = Logger::builder().build().wrap_err("closing the log")?;
+    // The thread that writes the log ends with the last logger that uses it.
+    drop(spdlog::swap_default_logger(Arc::new(empty)));
+    Ok(())
+}
--- a/crates/turmeric-daemon/src/run.rs
+++ b/crates/turmeric-daemon/src/run.rs
@@ -6,7 +6,6 @@
 use spdlog::{error, info};
 
 use tokio::runtime::Runtime;
-use turmeric_platform::BootSettings;
 
 use crate::config::{self, HostedConfig, ProcessConfig};
 use crate::{agent, entry, hosted, logging};
@@ -72,7 +71,7 @@
 }
 
 /// Runs a role of the users' platform, where a VM gives a part of one core.
-fn run_hosted<F>(config: HostedConfig, role: impl Fn(BootSettings) -> F) -> Result<()>
+fn run_hosted<F>(config: HostedConfig, role: impl Fn(HostedConfig) -> F) -> Result<()>
 where
     F: Future<Output = Result<()>>,
 {
@@ -81,7 +80,12 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(role(config.boot))
+    let ended = runtime.block_on(role(config));
+    if let Err(report) = &ended {
+        error!("stopped: {report:#}");
+    }
+    logging::close()?;
+    ended
 }
 
 fn exit_code(report: &eyre::Report) -> ExitCode {
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -27,4 +27,5 @@
 pub use report::{EndKind, EndpointFacts, RunEnd, RunStatus, VmReport, read_key, write_key};
 pub use runs::{RunCall, RunTable, StartAnswer, StartPlan, StopAnswer, WorkerLists};
 pub use scheduler::{CommitPlan, JobScheduler, LeaderTerms};
+pub use scheduler::{JobNote, LossCause, RecallCause};
 pub use spec::{JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -8,6 +8,7 @@
 mod commit;
 mod ends;
 mod load;
+mod notes;
 mod orders;
 mod place;
 mod relieve;
@@ -22,9 +23,11 @@
 use crate::{
     JobCode, JobPhase, JobSpec, JobState, LeaseLimits, PressureTable, QueuePolicy, RunKey, TaskName,
 };
+use notes::NoteList;
 use vm::{HeldRun, VmState};
 
 pub use commit::CommitPlan;
+pub use notes::{JobNote, LossCause, RecallCause};
 
 /// Times that the platform's contract or its clocks set.
 #[derive(Clone, Copy, Debug)]
@@ -66,6 +69,7 @@
     pressure_kept_at: MonoTime,
     /// What the earlier leader last said of the queues.
     earlier_loads: Vec<v1::QueueLoad>,
+    notes: NoteList,
 }
 
 impl JobScheduler {
@@ -99,6 +103,7 @@
             pressure: PressureTable::new(),
             pressure_kept_at: now,
             earlier_loads: Vec::new(),
+            notes: NoteList::default(),
         }
     }
 
@@ -211,6 +216,7 @@
             }
         }
         self.touch(code);
+        self.note_over(code, now);
     }
 
     fn touch(&mut self, code: JobCode) {
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -5,6 +5,7 @@
 use turmeric_types::{MonoTime, WallTime};
 
 use super::JobScheduler;
+use super::notes::{JobNote, LossCause, RecallCause};
 use super::vm::{HeldRun, VmState};
 use crate::{EndKind, JobPhase, RunEnd, RunKey, RunPlace, RunStatus, TaskName, VmReport};
 
@@ -96,6 +97,13 @@
         }
         vm.seen_end = end.number;
         let held = vm.held.remove(&end.key);
+        if end.kind != EndKind::Done {
+            self.notes.push(JobNote::Ended {
+                key: end.key,
+                vm: name.to_owned(),
+                kind: end.kind,
+            });
+        }
         match end.kind {
             EndKind::Done => vm.note_outcome(end.key.task.job, true, now),
             EndKind::Failed => vm.note_outcome(end.key.task.job, false, now),
@@ -203,12 +211,12 @@
             return;
         };
         if let Some(held) = vm.held.remove(&key) {
-            self.return_task(key, &held);
+            self.return_task(key, &held, LossCause::Refused);
         }
     }
 
     /// Lets a task wait again whose attempt is surely over.
-    fn return_task(&mut self, key: RunKey, held: &HeldRun) {
+    fn return_task(&mut self, key: RunKey, held: &HeldRun, cause: LossCause) {
         let Some(job) = self.jobs.get_mut(&key.task.job) else {
             return;
         };
@@ -223,6 +231,11 @@
             state.checkpoint.clone_from(&held.checkpoint);
         }
         self.touch(key.task.job);
+        self.notes.push(JobNote::Lost {
+            key,
+            vm: held.place.vm.clone(),
+            cause,
+        });
     }
 
     /// Accounts attempts of an earlier life to the present one if it lists them.
@@ -262,18 +275,27 @@
     }
 
     fn lose_other_lives(&mut self, name: &str) {
-        self.lose_where(name, |vm, held| !vm.is_life(&held.place));
+        self.lose_where(name, LossCause::OtherLife, |vm, held| {
+            !vm.is_life(&held.place)
+        });
     }
 
     fn lose_present_life(&mut self, name: &str) {
-        self.lose_where(name, |vm, held| vm.is_life(&held.place));
+        self.lose_where(name, LossCause::LifeOver, |vm, held| {
+            vm.is_life(&held.place)
+        });
     }
 
     fn lose_all(&mut self, name: &str) {
-        self.lose_where(name, |_, _| true);
+        self.lose_where(name, LossCause::LeaseOver, |_, _| true);
     }
 
-    fn lose_where(&mut self, name: &str, is_lost: impl Fn(&VmState, &HeldRun) -> bool) {
+    fn lose_where(
+        &mut self,
+        name: &str,
+        cause: LossCause,
+        is_lost: impl Fn(&VmState, &HeldRun) -> bool,
+    ) {
         let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
@@ -289,7 +311,7 @@
             .filter_map(|key| vm.held.remove(&key).map(|held| (key, held)))
             .collect();
         for (key, held) in runs {
-            self.return_task(key, &held);
+            self.return_task(key, &held, cause);
         }
     }
 
@@ -332,7 +354,7 @@
             .filter_map(|key| vm.held.remove(&key).map(|held| (key, held)))
             .collect();
         for (key, held) in runs {
-            self.return_task(key, &held);
+            self.return_task(key, &held, LossCause::Dropped);
         }
     }
 
@@ -400,6 +422,11 @@
                 if is_movable && is_stalled && is_listed && !held.is_recalled {
                     held.is_recalled = true;
                     self.news.insert(name.clone());
+                    self.notes.push(JobNote::Recalled {
+                        key: *key,
+                        vm: name.clone(),
+                        cause: RecallCause::Stalled,
+                    });
                     stalled_jobs.push(key.task.job);
                 }
             }
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -6,6 +6,7 @@
 use turmeric_types::{MonoTime, WallTime};
 
 use super::JobScheduler;
+use super::notes::JobNote;
 use super::vm::HeldRun;
 use crate::{
     JobCode, JobPhase, JobRank, JobState, PlacementRequest, RunKey, RunNumber, RunPlace, TaskName,
@@ -45,11 +46,32 @@
         for code in self.jobs_in_order(wall) {
             let chosen = self.choose_places(code, &mut rooms, now, wall);
             placed += chosen.len();
+            self.note_placed(code, &chosen, wall);
             self.give(code, chosen, now);
         }
         placed
     }
 
+    fn note_placed(&mut self, code: JobCode, chosen: &[ChosenPlace], wall: WallTime) {
+        let Some(job) = self.jobs.get(&code).filter(|_| !chosen.is_empty()) else {
+            return;
+        };
+        let (urgency, ..) = rank_job(&job.spec, job.remaining(code), wall);
+        let attempts = chosen.iter().map(|place| {
+            let key = RunKey {
+                task: place.task,
+                run: place.run,
+            };
+            (key, place.vm.clone())
+        });
+        self.notes.push(JobNote::Placed {
+            job: code,
+            urgency,
+            age: wall.since(job.spec.accepted_at),
+            attempts: attempts.collect(),
+        });
+    }
+
     /// Returns the jobs with tasks that wait, the first to get room first.
     fn jobs_in_order(&self, wall: WallTime) -> Vec<JobCode> {
         let mut ranked: Vec<(JobRank, JobCode)> = self
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -13,6 +13,7 @@
 use turmeric_types::MonoTime;
 
 use super::JobScheduler;
+use super::notes::{JobNote, RecallCause};
 use crate::{PlacementRequest, RunKey, TaskName, VmRoom, choose_vm};
 
 /// A filling task is moved after it was slowed for this long.
@@ -54,11 +55,20 @@
                 moved += 1;
                 self.avoided
                     .insert(key.task, (name.clone(), now.after(AVOID_TERM)));
+                self.note_recall(&name, key, RecallCause::Slowed);
                 self.news.insert(name);
             }
         }
     }
 
+    fn note_recall(&mut self, name: &str, key: RunKey, cause: RecallCause) {
+        self.notes.push(JobNote::Recalled {
+            key,
+            vm: name.to_owned(),
+            cause,
+        });
+    }
+
     /// Recalls what runs on endpoints that drain, as far as others have room.
     pub(super) fn recall_draining(&mut self, now: MonoTime) {
         let leaving: Vec<(String, RunKey)> = self
@@ -78,6 +88,7 @@
         let mut rooms = self.open_rooms(now);
         for (name, key) in leaving {
             if self.move_to_better(&name, key, &mut rooms) {
+                self.note_recall(&name, key, RecallCause::Draining);
                 self.news.insert(name);
             }
         }
--- a/crates/turmeric-types/src/time.rs
+++ b/crates/turmeric-types/src/time.rs
@@ -80,6 +80,11 @@
     pub const fn after(self, term: Duration) -> Self {
         Self(self.0.saturating_add(term.as_millis() as u64))
     }
+
+    /// Returns the time since an earlier reading; zero if the clock went back.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
 }
 
 impl fmt::Display for WallTime {
