--- a/crates/turmeric-testbed/src/lib.rs
+++ b/crates/turmeric-testbed/src/lib.rs
@@ -10,7 +10,7 @@
 mod records;
 mod traffic;
 
-pub use bed::TestBed;
+pub use bed::{TestBed, free_address};
 pub use http::{HttpAnswer, LoadClient};
 pub use plan::{AgentPlan, BedPlan};
 pub use process::{TestProcess, run_program};
