Let a placement stand until the store has its record

Cause: orders sent between a placement and its record left the attempt out; the agent's report that it had taken them made the leader take the placement back and place the task anew. Ruled out: refusals by agents or workers.

--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -21,17 +21,21 @@
     pub fn orders(&mut self, name: &str, now: MonoTime) -> Option<v1::VmOrders> {
         self.order_sequence += 1;
         let sequence = self.order_sequence;
-        let keep: BTreeSet<RunKey> = {
-            let vm = self.vms.get(name)?;
-            vm.held
-                .iter()
-                .filter(|(key, held)| self.is_wanted(key, held))
-                .map(|(key, _)| *key)
-                .collect()
-        };
+        let (mut keep, mut pending) = (BTreeSet::new(), BTreeSet::new());
+        for (key, held) in &self.vms.get(name)?.held {
+            if self.is_wanted(key, held) {
+                let is_recorded = self.is_recorded(key, held);
+                let keys = if is_recorded { &mut keep } else { &mut pending };
+                keys.insert(*key);
+            }
+        }
         let vm = self.vms.get_mut(name)?;
         let mut starts = Vec::new();
         for (key, held) in &mut vm.held {
+            if pending.contains(key) {
+                // Ordered once the store knows of it; until then it stands.
+                continue;
+            }
             if !keep.contains(key) {
                 held.dropped_in.get_or_insert(sequence);
                 continue;
@@ -87,8 +91,15 @@
         })
     }
 
-    /// Returns whether an attempt may go on: the store knows of it, and its
-    /// task is neither over nor to go on elsewhere.
+    /// Returns whether the store knows of an attempt.
+    fn is_recorded(&self, key: &RunKey, held: &HeldRun) -> bool {
+        self.jobs
+            .get(&key.task.job)
+            .is_some_and(|job| job.recorded >= held.revision)
+    }
+
+    /// Returns whether an attempt is to go on: its task is neither over nor to
+    /// go on elsewhere.
     fn is_wanted(&self, key: &RunKey, held: &HeldRun) -> bool {
         let Some(job) = self.jobs.get(&key.task.job) else {
             return false;
@@ -98,7 +109,6 @@
         };
         !job.phase.is_over()
             && !held.is_recalled
-            && job.recorded >= held.revision
             && state.run == key.run
             && state.place.as_ref() == Some(&held.place)
     }
--- a/crates/turmeric-jobs/tests/leaving.rs
+++ b/crates/turmeric-jobs/tests/leaving.rs
@@ -328,3 +328,31 @@
         assert_eq!(leader.orders(vm, now).unwrap().recorded_end, 1, "{vm}");
     }
 }
+
+/// A busy or slow store: VMs report and get orders while a placement waits for its
+/// record. The placement stands.
+#[test]
+fn a_placement_outlives_the_orders_before_its_record() {
+    let (now, wall) = (MonoTime::from_millis(1000), WallTime::from_millis(1000));
+    let mut leader = leader(1, now);
+    leader.add_job(JobCode::new(1), job(false), wall);
+    leader.take_report(report("a", false, 1000, Vec::new()), now, wall);
+    assert_eq!(leader.place(now, wall), 1);
+    let early = leader.orders("a", now).unwrap();
+    assert!(
+        early.keep.is_empty(),
+        "nothing is ordered before its record"
+    );
+    let taken = VmReport {
+        taken_orders: early.sequence,
+        ..report("a", false, 1050, Vec::new())
+    };
+    leader.take_report(taken, now, wall);
+    assert_eq!(leader.place(now, wall), 0, "the task has its place");
+
+    let now = now.after(Duration::from_millis(100));
+    let plan = leader.begin_commit(now, wall).unwrap();
+    leader.commit_done(&plan, now);
+    let starts = leader.orders("a", now).unwrap().starts;
+    assert_eq!(read_key(starts[0].key.as_ref()).unwrap().run.get(), 1);
+}
