Keep the leader's processor for its row

Cause: at the grown size each placement copied the rooms of all VMs for each step of a backlog, and placements followed one another on a tenth of a core. Ruled out: refused transactions; the store was not down. Change: rooms are copied for gangs only; four times the length of a placement goes to everything else.

--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -29,6 +29,11 @@
 /// Shortest time between two rounds of placement.
 const PLACE_INTERVAL: Duration = Duration::from_millis(15);
 
+/// After a placement this many times its own length goes to writes, reports and
+/// orders: with a backlog of hundreds of jobs on a tenth of a core, placements one
+/// after the other kept the leader from its row until it was replaced.
+const PLACE_REST: u32 = 4;
+
 /// Longest time between two rounds of placement.
 const PLACE_LIMIT: Duration = Duration::from_millis(250);
 
@@ -98,6 +103,7 @@
         version: seat.version,
         answers: BTreeMap::new(),
         placed_at: MonoTime::default(),
+        place_due: MonoTime::default(),
         described_at: MonoTime::default(),
         wants_placing: true,
         commits: JoinSet::new(),
@@ -198,6 +204,8 @@
     version: u64,
     answers: BTreeMap<String, mpsc::Sender<v1::VmOrders>>,
     placed_at: MonoTime,
+    /// Not before this time is anything placed again.
+    place_due: MonoTime,
     described_at: MonoTime,
     wants_placing: bool,
     commits: JoinSet<CommitEnd>,
@@ -308,10 +316,13 @@
     fn act(&mut self) {
         let now = self.context.clock.now();
         let wall = self.context.clock.wall();
-        if self.wants_placing && now.since(self.placed_at) > PLACE_INTERVAL {
+        if self.wants_placing && now >= self.place_due {
             self.wants_placing = false;
             self.placed_at = now;
             self.scheduler.place(now, wall);
+            let ended = self.context.clock.now();
+            let rest = PLACE_INTERVAL.max(ended.since(now) * PLACE_REST);
+            self.place_due = ended.after(rest);
         }
         self.write_notes(now);
         if let Some(plan) = self.scheduler.begin_commit(now, wall) {
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -166,7 +166,9 @@
         };
         let is_idle = job.tasks.values().all(|state| state.place.is_none());
         let is_starved = is_idle && wall > job.spec.accepted_at.after(STARVED_TERM);
-        let before = rooms.clone();
+        // Only a gang gives rooms back; copying them for each step of a backlog
+        // takes more time than all the rest of a placement.
+        let before = step.is_gang.then(|| rooms.clone());
         let mut chosen: Vec<ChosenPlace> = Vec::new();
         for task in waiting {
             let placed = |vm: &str| {
@@ -206,7 +208,9 @@
         }
         if step.is_gang {
             if chosen.len() < step.count as usize {
-                *rooms = before;
+                if let Some(before) = before {
+                    *rooms = before;
+                }
                 return Vec::new();
             }
             let run = chosen
