Let entries that can carry the fleet lead

Change: SuccessionWatch, pure: a head start for entries as strong as any that has led, a window that grows with the store's time among equals, replacement of a much weaker leader, no takeover for silence that an outage of the store explains. The seat row changes only with the lead; agents follow its feed. Entry's processor is read from the settings.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -7,14 +7,14 @@
 
 use eyre::{Result, eyre};
 use spdlog::{info, warn};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use turmeric_jobs::{EndpointLife, PaceControl, PressureSample, RunKey, RunTable, VmReport};
 use turmeric_platform::{CallClient, RegistryHeartbeat, StoreClient, WorkerCalls};
 use turmeric_schema::v1;
 use turmeric_types::{MonoTime, SplitRandom};
 
 use super::ProcessSignals;
-use super::leadership::{CALL_TIMEOUT, LEADER_KEY, LEADER_TABLE, read_leader};
+use super::leadership::{CALL_TIMEOUT, LEADER_KEY, LEADER_TABLE, follow_seat, read_leader};
 use super::link::{LinkReader, LinkWriter, connect};
 use super::meters::{ProcessMeters, serve_meters};
 use super::registry::serve_registry;
@@ -191,21 +191,37 @@
 /// Keeps a link to the leader.
 async fn run_link(state: Arc<AgentState>, store: StoreClient) {
     let mut random = SplitRandom::new(state.clock.wall().as_millis());
+    let (seat_sender, mut seat) = watch::channel(v1::SeatRow::default());
+    tokio::spawn(follow_seat(store.clone(), seat_sender));
     let mut known: Option<SocketAddr> = None;
+    let mut epoch = 0;
     let mut was_linked = false;
+    let mut is_told = false;
     loop {
-        match store.read_one(LEADER_TABLE, LEADER_KEY, CALL_TIMEOUT).await {
-            Ok(Some(row)) => known = read_leader(&row).address.parse().ok(),
-            Ok(None) => {}
-            // The last known leader is as good as any while the store is away.
-            Err(error) => info!("leader not looked up", kv: { reason = error.to_string() }),
+        if is_told {
+            let row = seat.borrow_and_update().clone();
+            (known, epoch) = (row.address.parse().ok(), row.epoch);
+        } else {
+            match store.read_one(LEADER_TABLE, LEADER_KEY, CALL_TIMEOUT).await {
+                Ok(Some(row)) => {
+                    let leader = read_leader(&row);
+                    (known, epoch) = (leader.address.parse().ok(), leader.epoch);
+                }
+                Ok(None) => {}
+                // The last known leader is as good as any while the store is away.
+                Err(error) => info!("leader not looked up", kv: { reason = error.to_string() }),
+            }
         }
         if let Some(address) = known {
             match connect(address).await {
                 Ok((reader, writer)) => {
                     info!("linked to the leader", kv: { address = address.to_string() });
                     was_linked = true;
-                    let ended = keep_link(&state, &store, reader, writer).await;
+                    let link = keep_link(&state, &store, reader, writer);
+                    let ended = tokio::select! {
+                        ended = link => ended,
+                        next = next_seat(&mut seat, epoch) => eyre!("epoch {next} leads"),
+                    };
                     warn!("leader lost", kv: { reason = format!("{:#}", ended) });
                 }
                 Err(error) => {
@@ -218,7 +234,22 @@
             }
         }
         let jitter = Duration::from_millis(random.next_below(150) as u64);
-        tokio::time::sleep(SEARCH_INTERVAL + jitter).await;
+        let pause = tokio::time::sleep(SEARCH_INTERVAL + jitter);
+        is_told = tokio::select! {
+            () = pause => false,
+            _ = next_seat(&mut seat, epoch) => true,
+        };
+    }
+}
+
+/// Waits until a later epoch leads than `epoch`.
+async fn next_seat(seat: &mut watch::Receiver<v1::SeatRow>, epoch: u64) -> u64 {
+    let next = seat.wait_for(|row| row.epoch > epoch).await;
+    let next = next.map(|row| row.epoch);
+    match next {
+        Ok(epoch) => epoch,
+        // Its follower runs as long as the process.
+        Err(_) => std::future::pending().await,
     }
 }
 
--- a/crates/turmeric-daemon/src/hosted/entry.rs
+++ b/crates/turmeric-daemon/src/hosted/entry.rs
@@ -94,6 +94,7 @@
     let context = LeadContext {
         vm: boot.vm.clone(),
         address: link_address,
+        processor: boot.processor,
         store,
         clock,
         terms: LeaderTerms {
--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -11,7 +11,7 @@
 use turmeric_jobs::{CommitPlan, JobScheduler, VmReport};
 use turmeric_platform::{RowPut, RowRef, StoreClient, TxAnswer, TxRequest};
 use turmeric_schema::{Message, v1};
-use turmeric_types::MonoTime;
+use turmeric_types::{CoreCount, MonoTime};
 
 use super::decision_log::DecisionLog;
 use super::intake::{
@@ -62,6 +62,8 @@
     pub(crate) version: u64,
     /// What the earlier leader last said of the queues.
     pub(crate) queues: Vec<v1::QueueLoad>,
+    /// Most processor of any entry that has led before.
+    pub(crate) strongest: CoreCount,
 }
 
 /// Why an entry leads no more.
@@ -163,7 +165,8 @@
         context.address.to_string(),
         context.clock.now(),
     )
-    .with_loads(seat.queues.clone());
+    .with_loads(seat.queues.clone())
+    .with_processor(context.processor, seat.strongest);
     if let Some(value) = learned.and_then(|row| row.value) {
         match v1::PressureRow::decode(value.as_slice()) {
             Ok(row) => scheduler.restore_pressure(row),
--- a/crates/turmeric-daemon/src/hosted/leadership.rs
+++ b/crates/turmeric-daemon/src/hosted/leadership.rs
@@ -7,9 +7,10 @@
 
 use spdlog::{info, warn};
 use tokio::sync::watch;
-use turmeric_platform::{RowPut, RowRef, StoreClient, StoreRow, TxAnswer, TxRequest};
+use turmeric_jobs::{LeadReading, SuccessionStep, SuccessionWatch};
+use turmeric_platform::{FeedAnswer, RowPut, RowRef, StoreClient, StoreRow, TxAnswer, TxRequest};
 use turmeric_schema::{Message, v1};
-use turmeric_types::{MonoTime, SplitRandom};
+use turmeric_types::{CoreCount, SplitRandom};
 
 use super::callers::CallerState;
 use super::leader::{LeadEnd, LeadSeat, run_leader};
@@ -27,12 +28,18 @@
 /// Key of what leaders have learned of pairs of images.
 pub(crate) const PRESSURE_KEY: &str = "pressure";
 
+/// Table that changes only when the lead changes hands; agents and followers wait
+/// for its changes.
+pub(crate) const SEAT_TABLE: &str = "seat";
+
 /// How often a follower reads the row.
 const WATCH_INTERVAL: Duration = Duration::from_millis(400);
 
-/// A leader whose row has not moved for this long is replaced; it writes every
-/// 700 ms, and one write takes 0.25 s when the store is slow.
-const SILENCE_LIMIT: Duration = Duration::from_millis(2200);
+/// How long the feed of the seat's table is asked to wait.
+const SEAT_WAIT: Duration = Duration::from_secs(5);
+
+/// Wait after a failed reading of that feed.
+const SEAT_RETRY: Duration = Duration::from_millis(400);
 
 /// Longest wait for one call.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -41,6 +48,7 @@
 pub(crate) struct LeadContext {
     pub(crate) vm: String,
     pub(crate) address: SocketAddr,
+    pub(crate) processor: CoreCount,
     pub(crate) store: StoreClient,
     pub(crate) clock: ProcessClock,
     pub(crate) terms: turmeric_jobs::LeaderTerms,
@@ -66,38 +74,102 @@
         .unwrap_or_default()
 }
 
+/// Returns the reference of the row that tells agents who leads.
+pub(crate) fn seat_ref() -> RowRef {
+    RowRef::new(SEAT_TABLE, LEADER_KEY)
+}
+
+/// Follows the seat's table and keeps `seat` at the newest epoch, for ever.
+pub(crate) async fn follow_seat(store: StoreClient, seat: watch::Sender<v1::SeatRow>) {
+    let mut version = 0;
+    loop {
+        match store.follow(SEAT_TABLE, version, SEAT_WAIT).await {
+            Ok(FeedAnswer::Changes(batch)) => {
+                version = batch.version;
+                take_seats(&batch.rows, &seat);
+            }
+            Ok(FeedAnswer::HistoryGone) => match store.read_all(SEAT_TABLE, CALL_TIMEOUT).await {
+                Ok(all) => {
+                    version = all.version;
+                    take_seats(&all.rows, &seat);
+                }
+                Err(error) => {
+                    info!("seat not read", kv: { reason = error.to_string() });
+                    tokio::time::sleep(SEAT_RETRY).await;
+                }
+            },
+            Err(error) => {
+                info!("seat not followed", kv: { reason = error.to_string() });
+                tokio::time::sleep(SEAT_RETRY).await;
+            }
+        }
+    }
+}
+
+fn take_seats(rows: &[StoreRow], seat: &watch::Sender<v1::SeatRow>) {
+    let values = rows.iter().filter_map(|row| row.value.as_ref());
+    for value in values {
+        match v1::SeatRow::decode(value.as_slice()) {
+            Ok(row) if row.epoch > seat.borrow().epoch => {
+                seat.send_replace(row);
+            }
+            Ok(_) => {}
+            Err(error) => warn!("seat cannot be read", kv: { reason = error.to_string() }),
+        }
+    }
+}
+
 /// Watches the leader's row and leads whenever nobody else does.
 pub(crate) async fn watch_lead(
     context: LeadContext,
     mut links: tokio::sync::mpsc::Receiver<AgentLink>,
 ) {
-    let mut random = SplitRandom::new(context.clock.wall().as_millis());
-    let mut watcher = RowWatcher::default();
+    let mut random = SplitRandom::new(context.clock.wall().as_millis() ^ name_bits(&context.vm));
+    let mut watcher = new_watch(&context, &mut random);
     let mut is_reached = true;
     loop {
-        match context
+        let asked_at = context.clock.now();
+        let row = context
             .store
             .read_one(LEADER_TABLE, LEADER_KEY, CALL_TIMEOUT)
-            .await
-        {
+            .await;
+        let now = context.clock.now();
+        let mut pause = WATCH_INTERVAL + Duration::from_millis(random.next_below(100) as u64);
+        match row {
             Ok(row) => {
                 if !is_reached {
                     info!("store regained");
                 }
                 is_reached = true;
-                let now = context.clock.now();
+                let leader = row.as_ref().map(read_leader);
+                if let Some(leader) = &leader {
+                    context.leader.send_replace(LeaderView::new(leader, now));
+                }
+                let version = row.as_ref().map_or(0, |row| row.version);
+                let reading = leader
+                    .as_ref()
+                    .map(|leader| lead_reading(&context, version, leader));
+                let step = watcher.take_reading(reading, now.since(asked_at), now);
                 let is_stopping = context.callers.is_stopping.load(Ordering::Relaxed);
-                if let Some(vacancy) = watcher.take_row(&context, row.as_ref(), now)
-                    && !is_stopping
-                    && let Some(seat) = take_over(&context, vacancy).await
-                {
-                    let end = run_leader(&context, seat, &mut links).await;
-                    context.meters.lead_epoch.set(0);
-                    context.meters.open_jobs.set(0);
-                    watcher = RowWatcher::default();
-                    if end == LeadEnd::Released {
-                        return;
+                match step {
+                    SuccessionStep::WaitUntil(due) => pause = pause.min(due.since(now)),
+                    SuccessionStep::TakeOver(cause) if !is_stopping => {
+                        let earlier = leader.unwrap_or_default();
+                        info!("leader's row is vacant", kv: {
+                            cause = format!("{cause:?}"), epoch = earlier.epoch,
+                            holder = earlier.holder, row_version = version
+                        });
+                        if let Some(seat) = take_over(&context, version, earlier).await {
+                            let end = run_leader(&context, seat, &mut links).await;
+                            context.meters.lead_epoch.set(0);
+                            context.meters.open_jobs.set(0);
+                            watcher = new_watch(&context, &mut random);
+                            if end == LeadEnd::Released {
+                                return;
+                            }
+                        }
                     }
+                    SuccessionStep::TakeOver(_) | SuccessionStep::Follow => {}
                 }
             }
             Err(error) => {
@@ -109,72 +181,58 @@
         }
         // Connections of agents that take this entry for the leader are closed.
         while links.try_recv().is_ok() {}
-        let jitter = Duration::from_millis(random.next_below(100) as u64);
-        tokio::time::sleep(WATCH_INTERVAL + jitter).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
-/// A row that nobody keeps.
-struct Vacancy {
-    version: u64,
-    epoch: u64,
-    queues: Vec<v1::QueueLoad>,
+fn new_watch(context: &LeadContext, random: &mut SplitRandom) -> SuccessionWatch {
+    SuccessionWatch::new(context.processor, random.next_below(1000) as u32)
 }
 
-/// What a follower has seen of the leader's row.
-#[derive(Default)]
-struct RowWatcher {
-    seen: Option<(u64, MonoTime)>,
+/// Returns bits that differ by name, so that entries which start at the same
+/// moment draw different numbers.
+fn name_bits(name: &str) -> u64 {
+    name.bytes()
+        .fold(0, |bits, byte| bits * 131 + u64::from(byte))
 }
 
-impl RowWatcher {
-    /// Takes in a reading; returns the vacancy if the row may be taken over.
-    fn take_row(
-        &mut self,
-        context: &LeadContext,
-        row: Option<&StoreRow>,
-        now: MonoTime,
-    ) -> Option<Vacancy> {
-        let Some(row) = row else {
-            return Some(Vacancy {
-                version: 0,
-                epoch: 0,
-                queues: Vec::new(),
-            });
-        };
-        let leader = read_leader(row);
-        context.leader.send_replace(LeaderView::new(&leader, now));
-        let since = match self.seen {
-            Some((version, since)) if version == row.version => since,
-            _ => now,
-        };
-        self.seen = Some((row.version, since));
-        // An earlier life of this very process has left its row behind.
-        let is_own = leader.holder == context.vm;
-        let is_silent = now.since(since) > SILENCE_LIMIT;
-        (leader.released || is_own || is_silent).then_some(Vacancy {
-            version: row.version,
-            epoch: leader.epoch,
-            queues: leader.queues,
-        })
+fn lead_reading(context: &LeadContext, version: u64, leader: &v1::LeaderRow) -> LeadReading {
+    LeadReading {
+        version,
+        is_released: leader.released,
+        is_own: leader.holder == context.vm,
+        holder: CoreCount::from_millicores(leader.holder_millicores),
+        strongest: CoreCount::from_millicores(leader.strongest_millicores),
     }
 }
 
-async fn take_over(context: &LeadContext, vacancy: Vacancy) -> Option<LeadSeat> {
-    let epoch = vacancy.epoch + 1;
+async fn take_over(
+    context: &LeadContext,
+    version: u64,
+    earlier: v1::LeaderRow,
+) -> Option<LeadSeat> {
+    let epoch = earlier.epoch + 1;
+    let strongest = CoreCount::from_millicores(earlier.strongest_millicores);
     let row = v1::LeaderRow {
         epoch,
         holder: context.vm.clone(),
         address: context.address.to_string(),
-        queues: vacancy.queues.clone(),
+        queues: earlier.queues.clone(),
+        holder_millicores: context.processor.as_millicores(),
+        strongest_millicores: strongest.max(context.processor).as_millicores(),
         ..v1::LeaderRow::default()
     };
+    let seat_row = v1::SeatRow {
+        epoch,
+        address: row.address.clone(),
+    };
+    let put = |row, value| RowPut { row, value };
     let request = TxRequest {
-        expect: vec![(leader_ref(), vacancy.version)],
-        puts: vec![RowPut {
-            row: leader_ref(),
-            value: row.encode_to_vec(),
-        }],
+        expect: vec![(leader_ref(), version)],
+        puts: vec![
+            put(leader_ref(), row.encode_to_vec()),
+            put(seat_ref(), seat_row.encode_to_vec()),
+        ],
         removes: Vec::new(),
     };
     match context.store.transact(&request, CALL_TIMEOUT).await {
@@ -183,7 +241,8 @@
             Some(LeadSeat {
                 epoch,
                 version,
-                queues: vacancy.queues,
+                queues: earlier.queues,
+                strongest,
             })
         }
         TxAnswer::Conflict { .. } => None,
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use turmeric_schema::v1;
-use turmeric_types::{MonoTime, WallTime};
+use turmeric_types::{CoreCount, MonoTime, WallTime};
 
 use crate::{
     JobCode, JobPhase, JobSpec, JobState, LeaseLimits, PressureTable, QueuePolicy, RunKey, TaskName,
@@ -48,6 +48,10 @@
     epoch: u64,
     holder: String,
     address: String,
+    /// Processor of this entry.
+    processor: CoreCount,
+    /// Most processor of any entry that has led.
+    strongest: CoreCount,
     took_over_at: MonoTime,
     jobs: BTreeMap<JobCode, JobState>,
     /// Cancelled before the job itself was read.
@@ -86,6 +90,8 @@
             epoch,
             holder,
             address,
+            processor: CoreCount::default(),
+            strongest: CoreCount::default(),
             took_over_at: now,
             jobs: BTreeMap::new(),
             early_cancels: BTreeSet::new(),
@@ -114,6 +120,13 @@
         self
     }
 
+    /// Records this entry's processor, and the most of any that has led.
+    pub fn with_processor(mut self, own: CoreCount, strongest: CoreCount) -> Self {
+        self.processor = own;
+        self.strongest = strongest;
+        self
+    }
+
     /// Returns the epoch of this leadership.
     pub fn epoch(&self) -> u64 {
         self.epoch
--- a/crates/turmeric-jobs/src/scheduler/commit.rs
+++ b/crates/turmeric-jobs/src/scheduler/commit.rs
@@ -100,6 +100,8 @@
             address: self.address.clone(),
             released: self.is_releasing,
             queues: self.queue_loads(now, wall),
+            holder_millicores: self.processor.as_millicores(),
+            strongest_millicores: self.strongest.max(self.processor).as_millicores(),
         }
     }
 
