Give jobs in time room before lasting tasks of no better priority

Cause: on the large site lasting tasks reserve 11,200 of 11,936 cores. Change: rank by use (whole, part, none), then priority, then jobs in time before lasting ones. The delay of a queue counts work in time only. A log line a second tells the load.

--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -300,6 +300,8 @@
             self.described_at = now;
             let open_jobs = self.scheduler.open_jobs() as i64;
             self.context.meters.open_jobs.set(open_jobs);
+            let load = self.scheduler.describe_load(now, self.context.clock.wall());
+            info!("load", kv: { queues = load });
             let missing = self.scheduler.describe_missing(DESCRIBE_LIMIT);
             if !missing.is_empty() {
                 info!("lasting tasks wait", kv: {
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -20,7 +20,7 @@
 pub use admission::{AdmissionDecision, QueueDelay, admit};
 pub use lease::{ClockReading, LeaseGrant, LeaseLimits};
 pub use names::{EndpointLife, JobCode, NameError, RunKey, RunNumber, TaskName};
-pub use order::{JobRank, JobUrgency, RemainingWork, rank_job};
+pub use order::{JobRank, JobUrgency, RankTier, RemainingWork, judge_urgency, rank_job};
 pub use pace::{PaceChange, PaceControl, PaceSample};
 pub use placement::{PlacementRequest, VmRoom, choose_vm};
 pub use pressure::{ImagePair, PressureSample, PressureTable, load_of};
--- a/crates/turmeric-jobs/src/order.rs
+++ b/crates/turmeric-jobs/src/order.rs
@@ -2,10 +2,15 @@
 //!
 //! Load pattern: bursts of large jobs at more than the capacity, for longer than
 //! their objectives. First come, first served would finish every job late. So
-//! lasting tasks, which serve users of their own, go first; then jobs that can
-//! still meet their objective, those with the least work left before others;
-//! those that missed it wait for spare room. Most jobs come in time then, and
-//! what was begun is finished before something else is begun.
+//! jobs that can still meet their objective go first, those with the least work
+//! left before others; those that missed it wait for spare room. Most jobs come
+//! in time then, and what was begun is finished before something else is begun.
+//!
+//! Load pattern: lasting tasks that reserve nearly all processors for minutes,
+//! and more of them waiting, beside a stream of jobs of a second or two. Given to
+//! lasting tasks first, each gap is gone for minutes and the stream is late for
+//! as long; given to the stream, a lasting task begins a few seconds later. So
+//! jobs in time go before lasting tasks of no better priority.
 
 use turmeric_types::WallTime;
 
@@ -33,18 +38,41 @@
     pub core_millis: u64,
 }
 
-/// A place in the order: urgency, priority of the queue, work left, age.
-pub type JobRank = (JobUrgency, u32, u64, WallTime);
+/// What giving a job room is good for, the best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RankTier {
+    /// All of its use: it lasts, or can meet its objective.
+    Whole,
+    /// A part of its use.
+    Part,
+    /// None.
+    Owed,
+}
+
+/// A place in the order; the lowest goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct JobRank {
+    /// What giving it room is good for.
+    pub tier: RankTier,
+    /// Priority of the queue; zero comes first.
+    pub priority: u32,
+    /// The job lasts until it is cancelled.
+    pub is_lasting: bool,
+    /// Estimated work that is left, in core-milliseconds.
+    pub core_millis: u64,
+    /// When the job was accepted.
+    pub accepted_at: WallTime,
+}
 
 /// A late answer has some use up to this multiple of the objective (RULES of
 /// the installation: three times).
 const LATE_FACTOR: u32 = 3;
 
-/// Where a job stands in the queue; the lowest rank goes first.
-pub fn rank_job(spec: &JobSpec, remaining: RemainingWork, now: WallTime) -> JobRank {
+/// Returns how far a job is from what its caller can use.
+pub fn judge_urgency(spec: &JobSpec, remaining: RemainingWork, now: WallTime) -> JobUrgency {
     let objective = spec.objective();
     let end = now.as_millis() + remaining.chain_millis;
-    let urgency = if spec.is_lasting() {
+    if spec.is_lasting() {
         JobUrgency::Lasting
     } else if spec.repeat.is_some() || end <= spec.accepted_at.after(objective).as_millis() {
         JobUrgency::InTime
@@ -52,11 +80,21 @@
         JobUrgency::Late
     } else {
         JobUrgency::Overdue
+    }
+}
+
+/// Returns where a job stands among those that wait for room.
+pub fn rank_job(spec: &JobSpec, remaining: RemainingWork, now: WallTime) -> JobRank {
+    let tier = match judge_urgency(spec, remaining, now) {
+        JobUrgency::Lasting | JobUrgency::InTime => RankTier::Whole,
+        JobUrgency::Late => RankTier::Part,
+        JobUrgency::Overdue => RankTier::Owed,
     };
-    (
-        urgency,
-        spec.queue.priority,
-        remaining.core_millis,
-        spec.accepted_at,
-    )
+    JobRank {
+        tier,
+        priority: spec.queue.priority,
+        is_lasting: spec.is_lasting(),
+        core_millis: remaining.core_millis,
+        accepted_at: spec.accepted_at,
+    }
 }
--- a/crates/turmeric-jobs/src/progress.rs
+++ b/crates/turmeric-jobs/src/progress.rs
@@ -78,6 +78,13 @@
     pub place: Option<RunPlace>,
 }
 
+impl TaskState {
+    /// Returns whether the task is to run and no attempt of it may be running.
+    pub fn is_waiting(&self) -> bool {
+        !self.is_done && self.place.is_none()
+    }
+}
+
 /// What the leader has decided and learned of one job.
 #[derive(Clone, Debug)]
 pub struct JobState {
--- a/crates/turmeric-jobs/src/scheduler/load.rs
+++ b/crates/turmeric-jobs/src/scheduler/load.rs
@@ -7,7 +7,7 @@
 use turmeric_types::{MonoTime, WallTime};
 
 use super::JobScheduler;
-use crate::{JobPhase, JobState, StepSpec};
+use crate::{JobPhase, JobState, JobUrgency, StepSpec, VmRoom, judge_urgency};
 
 /// Time in which the agents find a new leader: they look for it every 300 to
 /// 450 ms, and a call takes 0.25 s when the store is slow.
@@ -42,6 +42,41 @@
         text
     }
 
+    /// Describes the waiting work by queue and urgency and the VMs' processors, for
+    /// the log.
+    pub fn describe_load(&self, now: MonoTime, wall: WallTime) -> String {
+        let mut sums: BTreeMap<(&str, JobUrgency), (usize, usize, u64)> = BTreeMap::new();
+        for (code, job) in self.jobs.iter().filter(|(_, job)| !job.phase.is_over()) {
+            let urgency = judge_urgency(&job.spec, job.remaining(*code), wall);
+            let sum = sums.entry((&job.spec.queue.route, urgency)).or_default();
+            sum.0 += 1;
+            sum.1 += job.tasks.values().filter(|task| task.is_waiting()).count();
+            sum.2 += waiting_work(job, wall);
+        }
+        let mut text: String = sums
+            .iter()
+            .map(|((route, urgency), (jobs, tasks, work))| {
+                format!("{route} {urgency:?}: {jobs} jobs, {tasks} tasks wait, {work} core-ms; ")
+            })
+            .collect();
+        let rooms = self.vms.iter();
+        let rooms: Vec<VmRoom> = rooms
+            .filter_map(|(name, vm)| vm.room(name, &self.pressure, now))
+            .collect();
+        let free: u64 = rooms
+            .iter()
+            .map(|room| room.free.cores.as_millicores())
+            .sum();
+        let idle: u64 = rooms.iter().map(|room| room.idle().as_millicores()).sum();
+        text.push_str(&format!(
+            "{} of {} VMs take tasks, {free} millicores free, {idle} idle, {} for batch",
+            rooms.len(),
+            self.vms.len(),
+            self.batch_capacity()
+        ));
+        text
+    }
+
     /// Names lasting tasks that run nowhere, for the log; at most `limit`.
     pub fn describe_missing(&self, limit: usize) -> String {
         let missing = self
@@ -58,18 +93,24 @@
     ///
     /// Load pattern: a leader that has just taken over amid a backlog and has heard
     /// few VMs or none. A delay reckoned from these alone would refuse everyone.
+    ///
+    /// Load pattern: an overload that has left hundreds of jobs late. A job that
+    /// arrives now gets room before them, so that their work delays nobody.
     pub(super) fn queue_loads(&self, now: MonoTime, wall: WallTime) -> Vec<v1::QueueLoad> {
         if now < self.took_over_at.after(ESTIMATE_WAIT) {
             return self.earlier_loads.clone();
         }
         let mut sums: BTreeMap<&str, QueueSum> = BTreeMap::new();
-        for job in self.jobs.values().filter(|job| !job.phase.is_over()) {
+        for (code, job) in self.jobs.iter().filter(|(_, job)| !job.phase.is_over()) {
             let sum = sums.entry(&job.spec.queue.route).or_default();
             sum.priority = job.spec.queue.priority;
             if job.phase == JobPhase::Queued && job.spec.repeat.is_none() {
                 sum.waiting += 1;
             }
-            sum.backlog += waiting_work(job, wall);
+            let urgency = judge_urgency(&job.spec, job.remaining(*code), wall);
+            if urgency == JobUrgency::InTime {
+                sum.backlog += waiting_work(job, wall);
+            }
         }
         let capacity = self.batch_capacity();
         sums.iter()
@@ -127,7 +168,7 @@
     }
     job.tasks
         .iter()
-        .filter(|(_, state)| !state.is_done && state.place.is_none())
+        .filter(|(_, state)| state.is_waiting())
         .filter_map(|(name, _)| job.spec.steps.get(name.step as usize))
         .filter(|step| !step.is_filling)
         .map(StepSpec::task_work)
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -10,7 +10,7 @@
 use super::vm::HeldRun;
 use crate::{
     JobCode, JobPhase, JobRank, JobState, PlacementRequest, RunKey, RunNumber, RunPlace, TaskName,
-    VmRoom, choose_vm, rank_job,
+    TaskState, VmRoom, choose_vm, judge_urgency, rank_job,
 };
 
 /// A job of which nothing runs for this long may press on serving tasks; the
@@ -56,7 +56,7 @@
         let Some(job) = self.jobs.get(&code).filter(|_| !chosen.is_empty()) else {
             return;
         };
-        let (urgency, ..) = rank_job(&job.spec, job.remaining(code), wall);
+        let urgency = judge_urgency(&job.spec, job.remaining(code), wall);
         let attempts = chosen.iter().map(|place| {
             let key = RunKey {
                 task: place.task,
@@ -148,7 +148,7 @@
         let waiting: Vec<TaskName> = job
             .tasks
             .range(first..=last)
-            .filter(|(_, state)| !state.is_done && state.place.is_none())
+            .filter(|(_, state)| state.is_waiting())
             .map(|(name, _)| *name)
             .collect();
         if waiting.is_empty() || !job.is_ready(&first) {
@@ -301,9 +301,7 @@
 }
 
 fn has_waiting(job: &JobState) -> bool {
-    job.tasks
-        .values()
-        .any(|state| !state.is_done && state.place.is_none())
+    job.tasks.values().any(TaskState::is_waiting)
 }
 
 fn is_due(job: &JobState, occurrence: u32, wall: WallTime) -> bool {
