Pass callers' requests to the leader when the store turns an entry away

Change: StorePath, pure, holds the path for lost after three failures in a row. Requests are passed to the leader then, whose address its row tells, and refused at once with the time to come back where there is no other leader. A job's row is written once, so that a request of unknown outcome may be passed on; a refusal after such a try stays 504.

--- a/crates/turmeric-daemon/src/hosted.rs
+++ b/crates/turmeric-daemon/src/hosted.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod decision_log;
 mod entry;
+mod forward;
 mod intake;
 mod leader;
 mod leadership;
--- a/crates/turmeric-daemon/src/hosted/callers.rs
+++ b/crates/turmeric-daemon/src/hosted/callers.rs
@@ -1,7 +1,8 @@
 //! Requests of callers: jobs sent, asked for and cancelled.
 
-use std::sync::Arc;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use axum::body::{Body, to_bytes};
@@ -9,11 +10,12 @@
 use axum::http::{Method, Request, Response, StatusCode, header};
 use spdlog::info;
 use tokio::sync::watch;
-use turmeric_jobs::{AdmissionDecision, JobCode, QueueDelay, admit};
+use turmeric_jobs::{AdmissionDecision, JobCode, QueueDelay, StorePath, admit};
 use turmeric_platform::{
     OperatorConfig, QueueRoute, StoreClient, read_job, write_phase, write_waiting,
 };
 
+use super::forward::{ForwardEnd, ForwardPlan, LeaderForward, is_unknown};
 use super::intake::{self, WriteOutcome};
 use super::meters::ProcessMeters;
 use super::view::{LeaderView, OperatorView};
@@ -34,6 +36,34 @@
     pub(crate) meters: Arc<ProcessMeters>,
     /// The process is about to stop; connections are closed after each answer.
     pub(crate) is_stopping: AtomicBool,
+    pub(crate) forward: LeaderForward,
+    /// Where this entry's own callers connect.
+    pub(crate) address: SocketAddr,
+    pub(crate) path: Mutex<StorePath>,
+}
+
+impl CallerState {
+    /// Locks what is known of the path to the store.
+    fn path(&self) -> MutexGuard<'_, StorePath> {
+        self.path.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in whether a call to the store was answered.
+    pub(crate) fn note_store_call(&self, is_answered: bool) {
+        let now = self.clock.now();
+        let mut path = self.path();
+        let was_lost = path.is_lost(now);
+        path.note_call(is_answered, now);
+        let is_lost = path.is_lost(now);
+        drop(path);
+        if is_lost != was_lost {
+            info!("path to the store", kv: { is_lost = is_lost });
+        }
+    }
+
+    fn is_store_lost(&self) -> bool {
+        self.path().is_lost(self.clock.now())
+    }
 }
 
 /// Serves one request.
@@ -87,11 +117,70 @@
     let Ok(code) = rest.parse::<JobCode>() else {
         return answer(StatusCode::NOT_FOUND, String::new());
     };
-    match *request.method() {
-        Method::POST => submit(state, &config, route, code, request).await,
+    let may_forward = !LeaderForward::is_forwarded(&request);
+    let limit = body_limit(&config);
+    let (parts, body) = request.into_parts();
+    let Ok(body) = to_bytes(body, limit).await else {
+        return answer(StatusCode::PAYLOAD_TOO_LARGE, String::new());
+    };
+    let plan = ForwardPlan {
+        method: parts.method.clone(),
+        host,
+        path,
+        body: body.clone(),
+    };
+    // A request that would only wait for a store that does not answer is passed on
+    // at once; one whose call to the store fails, afterwards.
+    if may_forward
+        && state.is_store_lost()
+        && let ForwardEnd::Answered(response) = pass_on(state, code, plan.clone()).await
+    {
+        return response;
+    }
+    let response = match parts.method {
+        Method::POST => submit(state, route, code, &body).await,
         Method::GET => show(state, code).await,
         Method::DELETE => cancel(state, code).await,
-        _ => answer(StatusCode::METHOD_NOT_ALLOWED, String::new()),
+        _ => return answer(StatusCode::METHOD_NOT_ALLOWED, String::new()),
+    };
+    let has_failed = response.status().is_server_error();
+    if !may_forward || !has_failed || !state.is_store_lost() {
+        return response;
+    }
+    let was_unknown = is_unknown(response.status());
+    match pass_on(state, code, plan).await {
+        // The earlier try may be stored yet, so that a refusal would be untrue.
+        ForwardEnd::Answered(passed) if was_unknown && !passed.status().is_success() => response,
+        ForwardEnd::Answered(passed) => passed,
+        ForwardEnd::NotSent | ForwardEnd::Unknown if was_unknown => response,
+        ForwardEnd::NotSent => response,
+        ForwardEnd::Unknown => answer(StatusCode::GATEWAY_TIMEOUT, String::new()),
+    }
+}
+
+/// Passes a request to the leader, unless this entry leads or knows none.
+async fn pass_on(state: &CallerState, code: JobCode, plan: ForwardPlan) -> ForwardEnd {
+    let leader = state.leader.borrow().callers;
+    let Some(leader) = leader.filter(|leader| *leader != state.address) else {
+        return ForwardEnd::NotSent;
+    };
+    let method = method_word(&plan.method);
+    let end = state.forward.send(leader, plan).await;
+    let outcome = match &end {
+        ForwardEnd::Answered(response) => response.status().as_u16(),
+        ForwardEnd::NotSent | ForwardEnd::Unknown => 0,
+    };
+    info!("request passed to the leader", kv: {
+        job = code.to_string(), method = method, leader = leader.to_string(), status = outcome
+    });
+    end
+}
+
+fn body_limit(config: &OperatorConfig) -> usize {
+    if config.body_limit > 0 {
+        config.body_limit
+    } else {
+        BODY_LIMIT
     }
 }
 
@@ -123,20 +212,11 @@
 
 async fn submit(
     state: &CallerState,
-    config: &OperatorConfig,
     route: &QueueRoute,
     code: JobCode,
-    request: Request<Body>,
+    body: &[u8],
 ) -> Response<Body> {
-    let limit = if config.body_limit > 0 {
-        config.body_limit
-    } else {
-        BODY_LIMIT
-    };
-    let Ok(body) = to_bytes(request.into_body(), limit).await else {
-        return answer(StatusCode::PAYLOAD_TOO_LARGE, String::new());
-    };
-    let spec = match read_job(&body, &route.policy, state.clock.wall()) {
+    let spec = match read_job(body, &route.policy, state.clock.wall()) {
         Ok(spec) => spec,
         Err(error) => {
             info!("job refused", kv: { job = code.to_string(), reason = error.to_string() });
@@ -149,8 +229,12 @@
         let delay = queue.map_or(QueueDelay::default(), |queue| queue.delay);
         (delay, state.clock.now().since(view.read_at))
     };
+    if state.is_store_lost() {
+        info!("job refused", kv: { job = code.to_string(), reason = "the store does not answer" });
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, STORE_RETRY_AFTER);
+    }
     if let AdmissionDecision::Refuse { retry_after } = admit(&spec, delay)
-        && !matches!(intake::is_accepted(&state.store, code).await, Ok(true))
+        && !matches!(intake::is_accepted(state, code).await, Ok(true))
     {
         info!("job refused", kv: {
             job = code.to_string(), queue = route.policy.route, delay_ms = delay.delay.as_millis() as u64,
@@ -158,10 +242,9 @@
         });
         return refuse(StatusCode::TOO_MANY_REQUESTS, retry_after);
     }
-    let outcome = intake::store_job(&state.store, code, &spec).await;
+    let outcome = intake::store_job(state, code, &spec).await;
     info!("job sent", kv: {
-        job = code.to_string(), queue = route.policy.route, config = config.version,
-        outcome = format!("{outcome:?}")
+        job = code.to_string(), queue = route.policy.route, outcome = format!("{outcome:?}")
     });
     match outcome {
         WriteOutcome::Stored => answer(StatusCode::OK, String::new()),
@@ -172,7 +255,7 @@
 }
 
 async fn show(state: &CallerState, code: JobCode) -> Response<Body> {
-    match intake::read_phase(&state.store, code).await {
+    match intake::read_phase(state, code).await {
         Ok(Some(phase)) => answer(StatusCode::OK, write_phase(phase)),
         Ok(None) => answer(StatusCode::GONE, String::new()),
         Err(reason) => {
@@ -183,7 +266,7 @@
 }
 
 async fn cancel(state: &CallerState, code: JobCode) -> Response<Body> {
-    match intake::is_accepted(&state.store, code).await {
+    match intake::is_accepted(state, code).await {
         Ok(true) => {}
         Ok(false) => return answer(StatusCode::GONE, String::new()),
         Err(reason) => {
@@ -191,7 +274,7 @@
             return refuse(StatusCode::SERVICE_UNAVAILABLE, STORE_RETRY_AFTER);
         }
     }
-    let outcome = intake::store_cancel(&state.store, code).await;
+    let outcome = intake::store_cancel(state, code).await;
     info!("cancellation sent", kv: { job = code.to_string(), outcome = format!("{outcome:?}") });
     match outcome {
         WriteOutcome::Stored => answer(StatusCode::OK, String::new()),
--- a/crates/turmeric-daemon/src/hosted/entry.rs
+++ b/crates/turmeric-daemon/src/hosted/entry.rs
@@ -1,8 +1,8 @@
 //! An entry on the users' platform.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use axum::Router;
@@ -12,11 +12,12 @@
 use spdlog::info;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use turmeric_jobs::{LeaderTerms, LeaseLimits};
+use turmeric_jobs::{LeaderTerms, LeaseLimits, StorePath};
 use turmeric_platform::{BootSettings, CallClient, StoreClient};
 
 use super::ProcessSignals;
 use super::callers::{CallerState, serve_caller};
+use super::forward::LeaderForward;
 use super::leadership::{LeadContext, watch_lead};
 use super::link::open_link;
 use super::meters::{ProcessMeters, serve_meters};
@@ -74,6 +75,9 @@
         leader,
         clock,
         is_stopping: AtomicBool::new(false),
+        forward: LeaderForward::new(),
+        address: callers_address,
+        path: Mutex::new(StorePath::new()),
     });
     tokio::spawn(follow_operators(store.clone(), operator_sender));
     let (link_sender, links) = mpsc::channel(LINK_BACKLOG);
--- a/crates/turmeric-daemon/src/hosted/intake.rs
+++ b/crates/turmeric-daemon/src/hosted/intake.rs
@@ -10,6 +10,8 @@
 };
 use turmeric_schema::{Message, v1};
 
+use super::callers::CallerState;
+
 /// Table of accepted jobs and of cancellations.
 pub(crate) const INTAKE_TABLE: &str = "intake";
 
@@ -104,7 +106,7 @@
 }
 
 /// Stores an accepted job, once whatever the number of tries.
-pub(crate) async fn store_job(store: &StoreClient, code: JobCode, spec: &JobSpec) -> WriteOutcome {
+pub(crate) async fn store_job(state: &CallerState, code: JobCode, spec: &JobSpec) -> WriteOutcome {
     let row = job_row(code);
     let request = TxRequest {
         expect: vec![(row.clone(), 0)],
@@ -114,11 +116,11 @@
         }],
         removes: Vec::new(),
     };
-    write(store, &request).await
+    write(state, &request).await
 }
 
 /// Stores that a job is to be cancelled.
-pub(crate) async fn store_cancel(store: &StoreClient, code: JobCode) -> WriteOutcome {
+pub(crate) async fn store_cancel(state: &CallerState, code: JobCode) -> WriteOutcome {
     let request = TxRequest {
         puts: vec![RowPut {
             row: cancel_row(code),
@@ -126,13 +128,16 @@
         }],
         ..TxRequest::default()
     };
-    write(store, &request).await
+    write(state, &request).await
 }
 
-async fn write(store: &StoreClient, request: &TxRequest) -> WriteOutcome {
+async fn write(state: &CallerState, request: &TxRequest) -> WriteOutcome {
     let mut outcome = WriteOutcome::NotStored;
     for _ in 0..WRITE_TRIES {
-        match store.transact(request, CALL_TIMEOUT).await {
+        let answer = state.store.transact(request, CALL_TIMEOUT).await;
+        let is_answered = matches!(answer, TxAnswer::Done { .. } | TxAnswer::Conflict { .. });
+        state.note_store_call(is_answered);
+        match answer {
             // A conflict says that the row is there already.
             TxAnswer::Done { .. } | TxAnswer::Conflict { .. } => return WriteOutcome::Stored,
             TxAnswer::NotDone { reason } => {
@@ -148,29 +153,29 @@
 }
 
 /// Returns whether a job was accepted.
-pub(crate) async fn is_accepted(store: &StoreClient, code: JobCode) -> Result<bool, String> {
-    store
-        .read_one(&job_row(code), CALL_TIMEOUT)
-        .await
-        .map(|row| row.is_some_and(|row| row.value.is_some()))
-        .map_err(|error| error.to_string())
+pub(crate) async fn is_accepted(state: &CallerState, code: JobCode) -> Result<bool, String> {
+    let row = read_row(state, &job_row(code)).await?;
+    Ok(row.is_some_and(|row| row.value.is_some()))
+}
+
+async fn read_row(state: &CallerState, row: &RowRef) -> Result<Option<StoreRow>, String> {
+    let answer = state.store.read_one(row, CALL_TIMEOUT).await;
+    state.note_store_call(answer.is_ok());
+    answer.map_err(|error| error.to_string())
 }
 
 /// Reads where a job stands; [`None`] if no such job was accepted.
 pub(crate) async fn read_phase(
-    store: &StoreClient,
+    state: &CallerState,
     code: JobCode,
 ) -> Result<Option<JobPhase>, String> {
-    let row = store
-        .read_one(&progress_row(code), CALL_TIMEOUT)
-        .await
-        .map_err(|error| error.to_string())?;
+    let row = read_row(state, &progress_row(code)).await?;
     if let Some(value) = row.and_then(|row| row.value) {
         let progress =
             v1::JobProgress::decode(value.as_slice()).map_err(|error| error.to_string())?;
         return Ok(JobPhase::read(progress.phase));
     }
-    let is_accepted = is_accepted(store, code).await?;
+    let is_accepted = is_accepted(state, code).await?;
     Ok(is_accepted.then_some(JobPhase::Queued))
 }
 
--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -13,6 +13,7 @@
 use turmeric_schema::{Message, v1};
 use turmeric_types::{CoreCount, MonoTime};
 
+use super::callers::CallerState;
 use super::decision_log::DecisionLog;
 use super::intake::{
     IntakeRow, PROGRESS_TABLE, follow_intake, job_rows, progress_row, read_intake,
@@ -160,6 +161,7 @@
         context.clock.now(),
     )
     .with_loads(seat.queues.clone())
+    .with_callers(context.callers.address.to_string())
     .with_processor(context.processor, seat.strongest);
     if let Some(value) = learned.and_then(|row| row.value) {
         match v1::PressureRow::decode(value.as_slice()) {
@@ -328,9 +330,10 @@
             let store = self.context.store.clone();
             let (epoch, version) = (self.scheduler.epoch(), self.version);
             let meters = Arc::clone(&self.context.meters);
+            let callers = Arc::clone(&self.context.callers);
             let clock = self.context.clock;
             self.commits.spawn(async move {
-                let end = commit(store, epoch, version, plan).await;
+                let end = commit(store, &callers, epoch, version, plan).await;
                 let term = clock.now().since(now);
                 meters.commit_seconds.observe(term.as_secs_f64());
                 end
@@ -430,12 +433,21 @@
 }
 
 /// Makes one write until its outcome is known.
-async fn commit(store: StoreClient, epoch: u64, version: u64, plan: CommitPlan) -> CommitEnd {
+async fn commit(
+    store: StoreClient,
+    callers: &CallerState,
+    epoch: u64,
+    version: u64,
+    plan: CommitPlan,
+) -> CommitEnd {
     let mut request = write_plan(&plan);
     let mut version = version;
     loop {
         request.expect = vec![(leader_ref(), version)];
-        match store.transact(&request, CALL_TIMEOUT).await {
+        let answer = store.transact(&request, CALL_TIMEOUT).await;
+        let is_answered = matches!(answer, TxAnswer::Done { .. } | TxAnswer::Conflict { .. });
+        callers.note_store_call(is_answered);
+        match answer {
             TxAnswer::Done { version } => {
                 return CommitEnd::Done {
                     plan: Box::new(plan),
--- a/crates/turmeric-daemon/src/hosted/leadership.rs
+++ b/crates/turmeric-daemon/src/hosted/leadership.rs
@@ -137,6 +137,7 @@
     loop {
         let asked_at = context.clock.now();
         let row = context.store.read_one(&leader_ref(), CALL_TIMEOUT).await;
+        context.callers.note_store_call(row.is_ok());
         let now = context.clock.now();
         let mut pause = WATCH_INTERVAL + Duration::from_millis(random.next_below(100) as u64);
         match row {
@@ -221,6 +222,7 @@
         epoch,
         holder: context.vm.clone(),
         address: context.address.to_string(),
+        callers_address: context.callers.address.to_string(),
         queues: earlier.queues.clone(),
         holder_millicores: context.processor.as_millicores(),
         strongest_millicores: strongest.max(context.processor).as_millicores(),
--- a/crates/turmeric-daemon/src/hosted/view.rs
+++ b/crates/turmeric-daemon/src/hosted/view.rs
@@ -1,6 +1,7 @@
 //! What an entry knows of operators and of the leader, shared by its tasks.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -44,6 +45,8 @@
     pub(crate) queues: BTreeMap<String, QueueView>,
     /// When the row was read.
     pub(crate) read_at: MonoTime,
+    /// Where the leader takes callers' requests.
+    pub(crate) callers: Option<SocketAddr>,
 }
 
 impl LeaderView {
@@ -61,6 +64,10 @@
                 (queue.route.clone(), view)
             })
             .collect();
-        Self { queues, read_at }
+        Self {
+            queues,
+            read_at,
+            callers: row.callers_address.parse().ok(),
+        }
     }
 }
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -15,6 +15,7 @@
 mod runs;
 mod scheduler;
 mod spec;
+mod store_path;
 mod succession;
 
 pub use admission::{AdmissionDecision, QueueDelay, admit};
@@ -30,4 +31,5 @@
 pub use scheduler::{CommitPlan, JobScheduler, LeaderTerms};
 pub use scheduler::{JobNote, LossCause, RecallCause};
 pub use spec::{JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
+pub use store_path::StorePath;
 pub use succession::{LeadReading, SuccessionStep, SuccessionWatch, VacancyCause};
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -48,6 +48,8 @@
     epoch: u64,
     holder: String,
     address: String,
+    /// Where this entry takes callers' requests.
+    callers_address: String,
     /// Processor of this entry.
     processor: CoreCount,
     /// Most processor of any entry that has led.
@@ -90,6 +92,7 @@
             epoch,
             holder,
             address,
+            callers_address: String::new(),
             processor: CoreCount::default(),
             strongest: CoreCount::default(),
             took_over_at: now,
@@ -120,6 +123,12 @@
         self
     }
 
+    /// Tells other entries where to pass callers' requests on.
+    pub fn with_callers(mut self, address: String) -> Self {
+        self.callers_address = address;
+        self
+    }
+
     /// Records this entry's processor, and the most of any that has led.
     pub fn with_processor(mut self, own: CoreCount, strongest: CoreCount) -> Self {
         self.processor = own;
--- a/crates/turmeric-jobs/src/scheduler/commit.rs
+++ b/crates/turmeric-jobs/src/scheduler/commit.rs
@@ -98,6 +98,7 @@
             sequence: self.commit_sequence,
             holder: self.holder.clone(),
             address: self.address.clone(),
+            callers_address: self.callers_address.clone(),
             released: self.is_releasing,
             queues: self.queue_loads(now, wall),
             holder_millicores: self.processor.as_millicores(),
