Cut the cost of a round of placement

Cause: at 160 VMs placement took 200 ms of each second of an entry with half a core, held there by its own rest: 14 to 20 rounds a second (a new log line tells the leader's time by report, order, placement and write). Tasks of a step were counted on all VMs though few steps limit them, gains of pairs were looked up with two allocations, and orders compared every pair with every attempt. Change: cheap checks first, limits counted where there are any, gains nested by image, no walk for a task that asks for as much as one that found no room in this round, loads reckoned each 150 ms.

--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -83,6 +83,33 @@
     answers: mpsc::Sender<v1::VmOrders>,
 }
 
+/// What the loop did since the last line about it.
+#[derive(Debug, Default)]
+struct LoopCosts {
+    reports: CostSum,
+    orders: CostSum,
+    placements: CostSum,
+    writes: CostSum,
+}
+
+/// How often something was done, and how long it took in all.
+#[derive(Debug, Default)]
+struct CostSum {
+    count: u32,
+    term: Duration,
+}
+
+impl CostSum {
+    fn add(&mut self, term: Duration) {
+        self.count += 1;
+        self.term += term;
+    }
+
+    fn describe(&self) -> String {
+        format!("{} in {:.1} ms", self.count, self.term.as_secs_f64() * 1e3)
+    }
+}
+
 /// What became of a write.
 enum CommitEnd {
     Done { plan: Box<CommitPlan>, version: u64 },
@@ -112,6 +139,7 @@
         wants_placing: true,
         commits: JoinSet::new(),
         decisions: DecisionLog::default(),
+        costs: LoopCosts::default(),
     };
     let end = loop_state
         .run(intake, reports, links, &report_sender, &mut helpers)
@@ -209,6 +237,7 @@
     wants_placing: bool,
     commits: JoinSet<CommitEnd>,
     decisions: DecisionLog,
+    costs: LoopCosts,
 }
 
 impl LeaderLoop<'_> {
@@ -271,6 +300,7 @@
     }
 
     fn take_report(&mut self, linked: LinkedReport) {
+        let began_at = self.context.clock.now();
         let report = match VmReport::read(linked.report) {
             Ok(report) => report,
             Err(error) => {
@@ -283,6 +313,9 @@
         let now = self.context.clock.now();
         self.scheduler
             .take_report(report, now, self.context.clock.wall());
+        self.costs
+            .reports
+            .add(self.context.clock.now().since(began_at));
     }
 
     fn take_operators(&mut self) {
@@ -303,7 +336,12 @@
             let open_jobs = self.scheduler.open_jobs() as i64;
             self.context.meters.open_jobs.set(open_jobs);
             let load = self.scheduler.describe_load(now, self.context.clock.wall());
-            info!("load", kv: { queues = load });
+            let costs = std::mem::take(&mut self.costs);
+            info!("load", kv: {
+                queues = load, reports = costs.reports.describe(),
+                orders = costs.orders.describe(), placements = costs.placements.describe(),
+                writes = costs.writes.describe()
+            });
             let missing = self.scheduler.describe_missing(DESCRIBE_LIMIT);
             if !missing.is_empty() {
                 info!("lasting tasks wait", kv: {
@@ -322,11 +360,16 @@
             self.placed_at = now;
             self.scheduler.place(now, wall);
             let ended = self.context.clock.now();
+            self.costs.placements.add(ended.since(now));
             let rest = PLACE_INTERVAL.max(ended.since(now) * PLACE_REST);
             self.place_due = ended.after(rest);
         }
         self.write_notes(now);
+        let write_began = self.context.clock.now();
         if let Some(plan) = self.scheduler.begin_commit(now, wall) {
+            self.costs
+                .writes
+                .add(self.context.clock.now().since(write_began));
             let store = self.context.store.clone();
             let (epoch, version) = (self.scheduler.epoch(), self.version);
             let meters = Arc::clone(&self.context.meters);
@@ -340,7 +383,11 @@
             });
         }
         for vm in self.scheduler.take_news() {
+            let began_at = self.context.clock.now();
             self.send_orders(&vm, now);
+            self.costs
+                .orders
+                .add(self.context.clock.now().since(began_at));
         }
     }
 
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -23,7 +23,7 @@
 pub use names::{EndpointLife, JobCode, NameError, RunKey, RunNumber, TaskName};
 pub use order::{JobRank, JobUrgency, RankTier, RemainingWork, judge_urgency, rank_job};
 pub use pace::{PaceChange, PaceControl, PaceSample};
-pub use placement::{PlacementRequest, VmRoom, choose_vm};
+pub use placement::{MissList, PlacementRequest, VmRoom, choose_vm};
 pub use pressure::{ImagePair, PressureSample, PressureTable, load_of};
 pub use progress::{JobPhase, JobState, RunPlace, TaskState};
 pub use report::{EndKind, EndpointFacts, RunEnd, RunStatus, VmReport, read_key, write_key};
--- a/crates/turmeric-jobs/src/placement.rs
+++ b/crates/turmeric-jobs/src/placement.rs
@@ -111,25 +111,25 @@
 }
 
 impl PlacementRequest<'_> {
-    /// Returns whether the VM may run the task, `placed` tasks of the same
-    /// step and occurrence being there already.
-    pub fn fits(&self, room: &VmRoom, placed: u32) -> bool {
-        room.service == self.service
-            && self.step.reserved().fits_in(&room.free)
-            && (!self.step.is_filling || self.fills_in(room))
-            && self.step.vm_limit.is_none_or(|limit| placed < limit)
+    /// Returns whether the VM may run the task; `placed` tells how many tasks of the
+    /// same step and occurrence are there already.
+    pub fn fits(&self, room: &VmRoom, placed: impl FnOnce() -> u32) -> bool {
+        self.step.reserved().fits_in(&room.free)
+            && room.service == self.service
             && self
                 .step
                 .label
                 .as_ref()
                 .is_none_or(|label| room.labels.contains(label))
+            && (!self.step.is_filling || self.fills_in(room))
+            && self.step.vm_limit.is_none_or(|limit| placed() < limit)
     }
 
     /// Returns whether a filling task would find idle processors there and
     /// disturb nobody.
     fn fills_in(&self, room: &VmRoom) -> bool {
-        let is_bearable = self.is_starved || self.pressed_load(room) <= LOAD_LIMIT;
-        is_bearable && self.step.need.cores <= room.idle()
+        self.step.need.cores <= room.idle()
+            && (self.is_starved || self.pressed_load(room) <= LOAD_LIMIT)
     }
 
     /// Returns the mean load of the serving image that a filling task would
@@ -162,7 +162,7 @@
     placed: impl Fn(&str) -> u32,
 ) -> Option<&'a VmRoom> {
     rooms
-        .filter(|room| request.fits(room, placed(&room.vm)))
+        .filter(|room| request.fits(room, || placed(&room.vm)))
         .min_by_key(|room| {
             let cores = room.free.cores.as_millicores();
             let by_kind = if request.step.latency_target_millis.is_some() {
@@ -184,3 +184,55 @@
             (room.is_suspect, request.is_far(room), by_kind)
         })
 }
+
+/// A task for which a round of placement has found no room.
+#[derive(Clone, Debug)]
+struct TaskMiss {
+    service: String,
+    need: ResourceSet,
+    is_filling: bool,
+    image: Option<String>,
+    label: Option<String>,
+}
+
+/// Tasks for which a round of placement has found no room.
+///
+/// Load pattern: hundreds of jobs of a burst wait, and nothing fits any more. Rooms
+/// only shrink within a round, so what asks for as much finds none either, and
+/// the VMs need not be walked for each of them.
+#[derive(Clone, Debug, Default)]
+pub struct MissList {
+    misses: Vec<TaskMiss>,
+}
+
+impl MissList {
+    /// Creates the list of a round that begins.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that a task of the step fits nowhere.
+    pub fn note(&mut self, service: &str, step: &StepSpec) {
+        // A limit for each VM says nothing about other steps.
+        if step.vm_limit.is_none() {
+            self.misses.push(TaskMiss {
+                service: service.to_owned(),
+                need: step.need,
+                is_filling: step.is_filling,
+                image: step.image.clone(),
+                label: step.label.clone(),
+            });
+        }
+    }
+
+    /// Returns whether a task of the step surely fits nowhere.
+    pub fn covers(&self, service: &str, step: &StepSpec) -> bool {
+        self.misses.iter().any(|miss| {
+            miss.need.fits_in(&step.need)
+                && miss.is_filling == step.is_filling
+                && (!step.is_filling || miss.image == step.image)
+                && miss.service == service
+                && miss.label == step.label
+        })
+    }
+}
--- a/crates/turmeric-jobs/src/pressure.rs
+++ b/crates/turmeric-jobs/src/pressure.rs
@@ -67,7 +67,8 @@
 /// How much each pair of images presses.
 #[derive(Clone, Debug, Default)]
 pub struct PressureTable {
-    gains: BTreeMap<ImagePair, f64>,
+    /// By serving image, then by filling image.
+    gains: BTreeMap<String, BTreeMap<String, f64>>,
 }
 
 impl PressureTable {
@@ -79,11 +80,9 @@
     /// Returns the load that a filling image adds to a serving one with all
     /// processors of a VM.
     pub fn gain(&self, filling: &str, serving: &str) -> f64 {
-        let pair = ImagePair {
-            filling: filling.to_owned(),
-            serving: serving.to_owned(),
-        };
-        self.gains.get(&pair).copied().unwrap_or(GAIN_PRIOR)
+        let gains = self.gains.get(serving);
+        let gain = gains.and_then(|gains| gains.get(filling));
+        gain.copied().unwrap_or(GAIN_PRIOR)
     }
 
     /// Takes in a reading.
@@ -106,20 +105,28 @@
         let correction = LEARNING_RATE * (load - SERVING_LOAD - expected) / (SHARE_FLOOR + square);
         for (image, share) in shares {
             let gain = self.gain(image, serving) + correction * share;
-            let pair = ImagePair {
-                filling: image.clone(),
-                serving: serving.to_owned(),
-            };
-            self.gains
-                .insert(pair, gain.clamp(GAIN_BOUNDS.0, GAIN_BOUNDS.1));
+            self.set_gain(image.clone(), serving.to_owned(), gain);
         }
     }
 
+    fn set_gain(&mut self, filling: String, serving: String, gain: f64) {
+        let gains = self.gains.entry(serving).or_default();
+        gains.insert(filling, gain.clamp(GAIN_BOUNDS.0, GAIN_BOUNDS.1));
+    }
+
+    /// Returns all pairs that were seen, with their gains.
+    fn pairs(&self) -> impl Iterator<Item = (&String, &String, f64)> {
+        self.gains.iter().flat_map(|(serving, gains)| {
+            let gains = gains.iter();
+            gains.map(move |(filling, gain)| (filling, serving, *gain))
+        })
+    }
+
     /// Writes what was learned, for the next leader.
     pub fn write(&self) -> v1::PressureRow {
-        let gains = self.gains.iter().map(|(pair, gain)| v1::PairGain {
-            filling: pair.filling.clone(),
-            serving: pair.serving.clone(),
+        let gains = self.pairs().map(|(filling, serving, gain)| v1::PairGain {
+            filling: filling.clone(),
+            serving: serving.clone(),
             gain_permille: (gain * 1000.0) as u32,
         });
         v1::PressureRow {
@@ -129,33 +136,27 @@
 
     /// Reads what an earlier leader learned.
     pub fn read(row: v1::PressureRow) -> Self {
-        let gains = row.gains.into_iter().map(|gain| {
-            let pair = ImagePair {
-                filling: gain.filling,
-                serving: gain.serving,
-            };
+        let mut table = Self::new();
+        for gain in row.gains {
             let value = f64::from(gain.gain_permille) / 1000.0;
-            (pair, value.clamp(GAIN_BOUNDS.0, GAIN_BOUNDS.1))
-        });
-        Self {
-            gains: gains.collect(),
+            table.set_gain(gain.filling, gain.serving, value);
         }
+        table
     }
 
     /// Describes the gains, for the log.
     pub fn describe(&self) -> String {
         let gains = self
-            .gains
-            .iter()
-            .map(|(pair, gain)| format!("{} on {} {gain:.2}", pair.filling, pair.serving));
+            .pairs()
+            .map(|(filling, serving, gain)| format!("{filling} on {serving} {gain:.2}"));
         gains.collect::<Vec<_>>().join(", ")
     }
 
-    /// Returns the pairs that leave each other alone.
-    pub fn light_pairs(&self) -> impl Iterator<Item = &ImagePair> {
-        self.gains
-            .iter()
+    /// Returns the filling images that leave a serving one alone.
+    pub fn light_images(&self, serving: &str) -> impl Iterator<Item = &String> {
+        let gains = self.gains.get(serving).into_iter().flatten();
+        gains
             .filter(|(_, gain)| **gain < LIGHT_GAIN)
-            .map(|(pair, _)| pair)
+            .map(|(filling, _)| filling)
     }
 }
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -73,8 +73,9 @@
     avoided: BTreeMap<TaskName, (String, MonoTime)>,
     pressure: PressureTable,
     pressure_kept_at: MonoTime,
-    /// What the earlier leader last said of the queues.
-    earlier_loads: Vec<v1::QueueLoad>,
+    /// Loads of the queues as last reckoned, at first by the earlier leader.
+    loads: Vec<v1::QueueLoad>,
+    loads_at: MonoTime,
     notes: NoteList,
 }
 
@@ -111,7 +112,8 @@
             avoided: BTreeMap::new(),
             pressure: PressureTable::new(),
             pressure_kept_at: now,
-            earlier_loads: Vec::new(),
+            loads: Vec::new(),
+            loads_at: MonoTime::default(),
             notes: NoteList::default(),
         }
     }
@@ -119,7 +121,7 @@
     /// Goes on telling what the earlier leader said of the queues, until enough
     /// VMs were heard.
     pub fn with_loads(mut self, loads: Vec<v1::QueueLoad>) -> Self {
-        self.earlier_loads = loads;
+        self.loads = loads;
         self
     }
 
--- a/crates/turmeric-jobs/src/scheduler/commit.rs
+++ b/crates/turmeric-jobs/src/scheduler/commit.rs
@@ -92,7 +92,7 @@
         })
     }
 
-    fn leader_row(&self, now: MonoTime, wall: WallTime) -> v1::LeaderRow {
+    fn leader_row(&mut self, now: MonoTime, wall: WallTime) -> v1::LeaderRow {
         v1::LeaderRow {
             epoch: self.epoch,
             sequence: self.commit_sequence,
--- a/crates/turmeric-jobs/src/scheduler/load.rs
+++ b/crates/turmeric-jobs/src/scheduler/load.rs
@@ -13,6 +13,10 @@
 /// 450 ms, and a call takes 0.25 s when the store is slow.
 const ESTIMATE_WAIT: Duration = Duration::from_millis(1500);
 
+/// Time between two reckonings of the loads, which walk all tasks of all jobs;
+/// callers are promised a count that is at most 2 s old.
+const LOAD_INTERVAL: Duration = Duration::from_millis(150);
+
 #[derive(Default)]
 struct QueueSum {
     waiting: u32,
@@ -96,10 +100,16 @@
     ///
     /// Load pattern: an overload that has left hundreds of jobs late. A job that
     /// arrives now gets room before them, so that their work delays nobody.
-    pub(super) fn queue_loads(&self, now: MonoTime, wall: WallTime) -> Vec<v1::QueueLoad> {
-        if now < self.took_over_at.after(ESTIMATE_WAIT) {
-            return self.earlier_loads.clone();
+    pub(super) fn queue_loads(&mut self, now: MonoTime, wall: WallTime) -> Vec<v1::QueueLoad> {
+        let is_fresh = now < self.loads_at.after(LOAD_INTERVAL);
+        if now >= self.took_over_at.after(ESTIMATE_WAIT) && !is_fresh {
+            self.loads_at = now;
+            self.loads = self.reckon_loads(wall);
         }
+        self.loads.clone()
+    }
+
+    fn reckon_loads(&self, wall: WallTime) -> Vec<v1::QueueLoad> {
         let mut sums: BTreeMap<&str, QueueSum> = BTreeMap::new();
         for (code, job) in self.jobs.iter().filter(|(_, job)| !job.phase.is_over()) {
             let sum = sums.entry(&job.spec.queue.route).or_default();
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -79,18 +79,32 @@
             recorded_end: vm.recorded_end(),
             sequence,
             store_silence_millis: now.since(self.committed_at).as_millis() as u64,
-            light_pairs: self
-                .pressure
-                .light_pairs()
-                .filter(|pair| vm.held.values().any(|run| run.image == pair.serving))
-                .map(|pair| v1::LightPair {
-                    filling: pair.filling.clone(),
-                    serving: pair.serving.clone(),
-                })
-                .collect(),
+            light_pairs: self.light_pairs(name),
         })
     }
 
+    /// Returns the pairs of images that leave each other alone, for the serving
+    /// images of a VM.
+    fn light_pairs(&self, name: &str) -> Vec<v1::LightPair> {
+        let held = self
+            .vms
+            .get(name)
+            .into_iter()
+            .flat_map(|vm| vm.held.values());
+        let serving: BTreeSet<&str> = held
+            .filter(|run| run.is_serving)
+            .map(|run| run.image.as_str())
+            .collect();
+        let pairs = serving.into_iter().flat_map(|serving| {
+            let images = self.pressure.light_images(serving);
+            images.map(|filling| v1::LightPair {
+                filling: filling.clone(),
+                serving: serving.to_owned(),
+            })
+        });
+        pairs.collect()
+    }
+
     /// Returns whether the store knows of an attempt.
     fn is_recorded(&self, key: &RunKey, held: &HeldRun) -> bool {
         self.jobs
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -9,8 +9,8 @@
 use super::notes::JobNote;
 use super::vm::HeldRun;
 use crate::{
-    JobCode, JobPhase, JobRank, JobState, PlacementRequest, RunKey, RunNumber, RunPlace, TaskName,
-    TaskState, VmRoom, choose_vm, judge_urgency, rank_job,
+    JobCode, JobPhase, JobRank, JobState, MissList, PlacementRequest, RunKey, RunNumber, RunPlace,
+    TaskName, TaskState, VmRoom, choose_vm, judge_urgency, rank_job,
 };
 
 /// A job of which nothing runs for this long may press on serving tasks; the
@@ -43,8 +43,9 @@
             return 0;
         }
         let mut placed = 0;
+        let mut misses = MissList::new();
         for code in self.jobs_in_order(wall) {
-            let chosen = self.choose_places(code, &mut rooms, now, wall);
+            let chosen = self.choose_places(code, &mut rooms, &mut misses, (now, wall));
             placed += chosen.len();
             self.note_placed(code, &chosen, wall);
             self.give(code, chosen, now);
@@ -91,8 +92,8 @@
         &self,
         code: JobCode,
         rooms: &mut BTreeMap<String, VmRoom>,
-        now: MonoTime,
-        wall: WallTime,
+        misses: &mut MissList,
+        (now, wall): (MonoTime, WallTime),
     ) -> Vec<ChosenPlace> {
         let Some(job) = self.jobs.get(&code) else {
             return Vec::new();
@@ -115,6 +116,7 @@
                     service,
                     (occurrence, step),
                     rooms,
+                    misses,
                     (now, wall),
                 ));
             }
@@ -130,6 +132,7 @@
         service: &str,
         (occurrence, number): (u32, u32),
         rooms: &mut BTreeMap<String, VmRoom>,
+        misses: &mut MissList,
         (now, wall): (MonoTime, WallTime),
     ) -> Vec<ChosenPlace> {
         let Some(step) = job.spec.steps.get(number as usize) else {
@@ -166,6 +169,9 @@
         };
         let is_idle = job.tasks.values().all(|state| state.place.is_none());
         let is_starved = is_idle && wall > job.spec.accepted_at.after(STARVED_TERM);
+        if !is_starved && misses.covers(service, step) {
+            return Vec::new();
+        }
         // Only a gang gives rooms back; copying them for each step of a backlog
         // takes more time than all the rest of a placement.
         let before = step.is_gang.then(|| rooms.clone());
@@ -190,6 +196,10 @@
                 is_alone.then(|| choose_vm(&starved, open(), placed))?
             });
             let Some(found) = found else {
+                // The room that a gang tried to take is given back.
+                if avoided.is_none() && !step.is_gang {
+                    misses.note(service, step);
+                }
                 break;
             };
             let vm = found.vm.clone();
--- a/crates/turmeric-jobs/tests/decisions.rs
+++ b/crates/turmeric-jobs/tests/decisions.rs
@@ -8,8 +8,9 @@
 use rstest::rstest;
 use turmeric_jobs::{
     AdmissionDecision, ClockReading, JobRank, JobSpec, JobUrgency, LeaseGrant, LeaseLimits,
-    PaceControl, PlacementRequest, PressureSample, PressureTable, QueueDelay, QueuePolicy,
-    RankTier, RemainingWork, StepSpec, VmRoom, admit, choose_vm, judge_urgency, load_of, rank_job,
+    MissList, PaceControl, PlacementRequest, PressureSample, PressureTable, QueueDelay,
+    QueuePolicy, RankTier, RemainingWork, StepSpec, VmRoom, admit, choose_vm, judge_urgency,
+    load_of, rank_job,
 };
 use turmeric_types::{
     AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, SplitRandom, WallTime,
@@ -412,3 +413,47 @@
     assert!(end <= reported + 100_000 + 5_900, "{end}");
     assert!(limits.wait() > Duration::from_millis(5_900 * 102 / 100));
 }
+
+/// A burst in which nothing fits any more: what a miss covers is not looked for,
+/// and all that it covers indeed fits nowhere.
+#[test]
+fn what_a_miss_covers_fits_nowhere() {
+    let mut random = SplitRandom::new(11);
+    let table = PressureTable::new();
+    let draw_step = |random: &mut SplitRandom| StepSpec {
+        is_filling: random.next_below(2) == 0,
+        image: Some(format!("image-{}", random.next_below(3))),
+        label: (random.next_below(4) == 0).then(|| "b".to_owned()),
+        vm_limit: (random.next_below(4) == 0).then_some(1),
+        ..step(500 + 500 * random.next_below(10) as u64)
+    };
+    let mut covered = 0;
+    for _ in 0..300 {
+        let mut rooms: Vec<VmRoom> = (0..4)
+            .map(|vm| room(&format!("vm-{vm}"), 500 * random.next_below(12) as u64))
+            .collect();
+        let mut misses = MissList::new();
+        for _ in 0..40 {
+            let step = draw_step(&mut random);
+            let request = PlacementRequest {
+                service: "s",
+                step: &step,
+                table: &table,
+                is_starved: false,
+            };
+            let found = choose_vm(&request, rooms.iter(), |_| 0).map(|room| room.vm.clone());
+            if misses.covers("s", &step) {
+                covered += 1;
+                assert_eq!(found, None);
+            }
+            match found {
+                Some(vm) => rooms
+                    .iter_mut()
+                    .filter(|room| room.vm == vm)
+                    .for_each(|room| room.add(&step, &table)),
+                None => misses.note("s", &step),
+            }
+        }
+    }
+    assert!(covered > 1000, "{covered}");
+}
