--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -17,6 +17,14 @@
 /// users' bound for work that has room is 3 s.
 const STARVED_TERM: Duration = Duration::from_millis(2000);
 
+/// What one round of placement has found so far.
+struct PlacementRound {
+    rooms: BTreeMap<String, VmRoom>,
+    misses: MissList,
+    now: MonoTime,
+    wall: WallTime,
+}
+
 /// A task and the VM chosen for it.
 struct ChosenPlace {
     task: TaskName,
@@ -33,7 +41,7 @@
         if self.is_releasing {
             return 0;
         }
-        let mut rooms: BTreeMap<String, VmRoom> = self
+        let rooms: BTreeMap<String, VmRoom> = self
             .vms
             .iter()
             .filter(|(_, vm)| !self.closed_zones.contains(&vm.zone))
@@ -43,9 +51,14 @@
             return 0;
         }
         let mut placed = 0;
-        let mut misses = MissList::new();
+        let mut round = PlacementRound {
+            rooms,
+            misses: MissList::new(),
+            now,
+            wall,
+        };
         for code in self.jobs_in_order(wall) {
-            let chosen = self.choose_places(code, &mut rooms, &mut misses, (now, wall));
+            let chosen = self.choose_places(code, &mut round);
             placed += chosen.len();
             self.note_placed(code, &chosen, wall);
             self.give(code, chosen, now);
@@ -88,13 +101,7 @@
         ranked.into_iter().map(|(_, code)| code).collect()
     }
 
-    fn choose_places(
-        &self,
-        code: JobCode,
-        rooms: &mut BTreeMap<String, VmRoom>,
-        misses: &mut MissList,
-        (now, wall): (MonoTime, WallTime),
-    ) -> Vec<ChosenPlace> {
+    fn choose_places(&self, code: JobCode, round: &mut PlacementRound) -> Vec<ChosenPlace> {
         let Some(job) = self.jobs.get(&code) else {
             return Vec::new();
         };
@@ -106,19 +113,12 @@
             });
         let mut chosen = Vec::new();
         for occurrence in 0..job.spec.occurrences() {
-            if !is_due(job, occurrence, wall) {
+            if !is_due(job, occurrence, round.wall) {
                 break;
             }
             for step in 0..job.spec.steps.len() as u32 {
-                chosen.extend(self.choose_step(
-                    code,
-                    job,
-                    service,
-                    (occurrence, step),
-                    rooms,
-                    misses,
-                    (now, wall),
-                ));
+                let step = (occurrence, step);
+                chosen.extend(self.choose_step(code, job, service, step, round));
             }
         }
         chosen
@@ -131,9 +131,7 @@
         job: &JobState,
         service: &str,
         (occurrence, number): (u32, u32),
-        rooms: &mut BTreeMap<String, VmRoom>,
-        misses: &mut MissList,
-        (now, wall): (MonoTime, WallTime),
+        round: &mut PlacementRound,
     ) -> Vec<ChosenPlace> {
         let Some(step) = job.spec.steps.get(number as usize) else {
             return Vec::new();
@@ -168,22 +166,23 @@
             is_starved: false,
         };
         let is_idle = job.tasks.values().all(|state| state.place.is_none());
-        let is_starved = is_idle && wall > job.spec.accepted_at.after(STARVED_TERM);
-        if !is_starved && misses.covers(service, step) {
+        let is_starved = is_idle && round.wall > job.spec.accepted_at.after(STARVED_TERM);
+        if !is_starved && round.misses.covers(service, step) {
             return Vec::new();
         }
         // Only a gang gives rooms back; copying them for each step of a backlog
         // takes more time than all the rest of a placement.
-        let before = step.is_gang.then(|| rooms.clone());
+        let before = step.is_gang.then(|| round.rooms.clone());
         let mut chosen: Vec<ChosenPlace> = Vec::new();
         for task in waiting {
             let placed = |vm: &str| {
                 let there = self.vms.get(vm).map_or(0, |vm| vm.count_step(&first));
                 there + chosen.iter().filter(|place| place.vm == vm).count() as u32
             };
-            let avoided = self.avoided_vm(&task, now);
+            let avoided = self.avoided_vm(&task, round.now);
             let open = || {
-                rooms
+                round
+                    .rooms
                     .values()
                     .filter(move |room| avoided != Some(room.vm.as_str()))
             };
@@ -198,12 +197,12 @@
             let Some(found) = found else {
                 // The room that a gang tried to take is given back.
                 if avoided.is_none() && !step.is_gang {
-                    misses.note(service, step);
+                    round.misses.note(service, step);
                 }
                 break;
             };
             let vm = found.vm.clone();
-            if let Some(room) = rooms.get_mut(&vm) {
+            if let Some(room) = round.rooms.get_mut(&vm) {
                 room.add(step, &self.pressure);
             }
             let run = job
@@ -219,7 +218,7 @@
         if step.is_gang {
             if chosen.len() < step.count as usize {
                 if let Some(before) = before {
-                    *rooms = before;
+                    round.rooms = before;
                 }
                 return Vec::new();
             }
