Refuse jobs whose numbers nothing can be reckoned with

A job with an estimate of 1e300 ms overflowed the objective or the work: the request's task panicked and its caller got no answer. Change: an estimate or a period over 366 days, or a task of over 100,000 cores, is refused with a message that says so.

--- a/crates/turmeric-jobs/src/spec.rs
+++ b/crates/turmeric-jobs/src/spec.rs
@@ -122,6 +122,13 @@
         /// What it waits for.
         after: u32,
     },
+    /// A number is beyond what decisions can reckon with.
+    OutOfRange {
+        /// What the number says.
+        what: &'static str,
+        /// The largest that is taken, with its unit.
+        limit: &'static str,
+    },
     /// A message of the store does not decode.
     Message {
         /// What the decoder said.
@@ -141,6 +148,9 @@
                 formatter,
                 "step {step} waits for step {after}; a step waits only for earlier ones"
             ),
+            Self::OutOfRange { what, limit } => {
+                write!(formatter, "{what} is too large; at most {limit}")
+            }
             Self::Message { reason } => write!(formatter, "the record does not decode: {reason}"),
         }
     }
@@ -151,6 +161,12 @@
 /// Most tasks of a job: their progress must fit one row of the store (64 KiB).
 pub const TASK_LIMIT: u64 = 600;
 
+/// Longest estimate of a task, and longest time between two runs of a job.
+const TERM_LIMIT: Duration = Duration::from_secs(366 * 24 * 3600);
+
+/// Most processors of a task, in thousandths.
+const CORE_LIMIT: u64 = 100_000_000;
+
 impl JobSpec {
     /// Checks that the job can be carried out at all.
     ///
@@ -170,7 +186,28 @@
         if count > TASK_LIMIT {
             return Err(SpecError::TooManyTasks { count });
         }
+        if self
+            .repeat
+            .is_some_and(|repeat| repeat.interval > TERM_LIMIT)
+        {
+            return Err(SpecError::OutOfRange {
+                what: "the time between two runs",
+                limit: "366 days",
+            });
+        }
         for (number, step) in self.steps.iter().enumerate() {
+            if step.estimate > TERM_LIMIT {
+                return Err(SpecError::OutOfRange {
+                    what: "the estimate of a task",
+                    limit: "366 days",
+                });
+            }
+            if step.need.cores.as_millicores() > CORE_LIMIT {
+                return Err(SpecError::OutOfRange {
+                    what: "the processors of a task",
+                    limit: "100,000 cores",
+                });
+            }
             if let Some(after) = step.after.iter().find(|after| **after as usize >= number) {
                 return Err(SpecError::StepOrder {
                     step: number,
