Tell the delay of a queue by the work of a job

Change: the leader's row tells the delay in six steps of a job's work; an entry takes the step that the job falls into.

--- a/crates/turmeric-daemon/src/hosted/callers.rs
+++ b/crates/turmeric-daemon/src/hosted/callers.rs
@@ -226,18 +226,19 @@
     let (delay, age) = {
         let view = state.leader.borrow();
         let queue = view.queues.get(&route.policy.route);
-        let delay = queue.map_or(QueueDelay::default(), |queue| queue.delay);
+        let delay = queue.map_or_else(QueueDelay::default, |queue| queue.delay.clone());
         (delay, state.clock.now().since(view.read_at))
     };
     if state.is_store_lost() {
         info!("job refused", kv: { job = code.to_string(), reason = "the store does not answer" });
         return refuse(StatusCode::SERVICE_UNAVAILABLE, STORE_RETRY_AFTER);
     }
-    if let AdmissionDecision::Refuse { retry_after } = admit(&spec, delay)
+    if let AdmissionDecision::Refuse { retry_after } = admit(&spec, &delay)
         && !matches!(intake::is_accepted(state, code).await, Ok(true))
     {
         info!("job refused", kv: {
-            job = code.to_string(), queue = route.policy.route, delay_ms = delay.delay.as_millis() as u64,
+            job = code.to_string(), queue = route.policy.route, delay_ms = delay.delay_for(spec.work()).as_millis() as u64,
+            work_core_ms = spec.work(),
             age_ms = age.as_millis() as u64, retry_after_ms = retry_after.as_millis() as u64
         });
         return refuse(StatusCode::TOO_MANY_REQUESTS, retry_after);
--- a/crates/turmeric-daemon/src/hosted/view.rs
+++ b/crates/turmeric-daemon/src/hosted/view.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use turmeric_jobs::{QueueDelay, QueuePolicy};
+use turmeric_jobs::{QueueDelay, QueuePolicy, WorkDelay};
 use turmeric_platform::OperatorConfig;
 use turmeric_schema::v1;
 use turmeric_types::MonoTime;
@@ -30,7 +30,7 @@
 }
 
 /// Load of one queue.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct QueueView {
     /// Accepted jobs of which nothing has started.
     pub(crate) waiting: u32,
@@ -59,6 +59,7 @@
                     waiting: queue.waiting,
                     delay: QueueDelay {
                         delay: Duration::from_millis(queue.delay_millis),
+                        steps: queue.steps.iter().map(read_step).collect(),
                     },
                 };
                 (queue.route.clone(), view)
@@ -71,3 +72,10 @@
         }
     }
 }
+
+fn read_step(step: &v1::WorkDelay) -> WorkDelay {
+    WorkDelay {
+        work: step.work,
+        delay: Duration::from_millis(step.delay_millis),
+    }
+}
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -18,7 +18,7 @@
 mod store_path;
 mod succession;
 
-pub use admission::{AdmissionDecision, QueueDelay, admit};
+pub use admission::{AdmissionDecision, QueueDelay, WorkDelay, admit};
 pub use lease::{ClockReading, LeaseGrant, LeaseLimits};
 pub use names::{EndpointLife, JobCode, NameError, RunKey, RunNumber, TaskName};
 pub use order::{JobRank, JobUrgency, RankTier, RemainingWork, judge_urgency, rank_job};
--- a/crates/turmeric-jobs/src/scheduler/load.rs
+++ b/crates/turmeric-jobs/src/scheduler/load.rs
@@ -20,11 +20,20 @@
 #[derive(Default)]
 struct QueueSum {
     waiting: u32,
-    /// Work of the queue that waits, in core-milliseconds.
-    backlog: u64,
+    /// Work left of each job in time, and what of it waits, in core-milliseconds.
+    backlog: Vec<JobBacklog>,
     priority: u32,
 }
 
+#[derive(Clone, Copy)]
+struct JobBacklog {
+    left: u64,
+    waiting: u64,
+}
+
+/// Steps in which the delay of a queue is told by the work of a job.
+const WORK_STEPS: usize = 6;
+
 impl JobScheduler {
     /// Describes the rooms of all VMs, for the log.
     pub fn describe_rooms(&self, now: MonoTime) -> String {
@@ -117,24 +126,32 @@
             if job.phase == JobPhase::Queued && job.spec.repeat.is_none() {
                 sum.waiting += 1;
             }
-            let urgency = judge_urgency(&job.spec, job.remaining(*code), wall);
-            if urgency == JobUrgency::InTime {
-                sum.backlog += waiting_work(job, wall);
+            let remaining = job.remaining(*code);
+            if judge_urgency(&job.spec, remaining, wall) == JobUrgency::InTime {
+                sum.backlog.push(JobBacklog {
+                    left: remaining.core_millis,
+                    waiting: waiting_work(job, wall),
+                });
             }
         }
         let capacity = self.batch_capacity();
+        // Without a VM that takes tasks nothing can be said of it.
+        let delay = |ahead: u64| (ahead * 1000).checked_div(capacity).unwrap_or(0);
         sums.iter()
             .map(|(route, sum)| {
-                let ahead: u64 = sums
-                    .values()
-                    .filter(|other| other.priority <= sum.priority)
-                    .map(|other| other.backlog)
-                    .sum();
+                let steps = work_steps(&sums, sum.priority);
+                let all = steps.last().map_or(0, |step| step.waiting);
                 v1::QueueLoad {
                     route: (*route).to_owned(),
                     waiting: sum.waiting,
-                    // Without a VM that takes tasks nothing can be said of it.
-                    delay_millis: (ahead * 1000).checked_div(capacity).unwrap_or(0),
+                    delay_millis: delay(all),
+                    steps: steps
+                        .iter()
+                        .map(|step| v1::WorkDelay {
+                            work: step.left,
+                            delay_millis: delay(step.waiting),
+                        })
+                        .collect(),
                 }
             })
             .collect()
@@ -163,6 +180,34 @@
     }
 }
 
+/// Returns how much work waits before a job of a queue with `priority`, by the work
+/// that the job has: all of better priorities, and of its own what has no more.
+fn work_steps(sums: &BTreeMap<&str, QueueSum>, priority: u32) -> Vec<JobBacklog> {
+    let better = sums.values().filter(|sum| sum.priority < priority);
+    let mut ahead: u64 = better
+        .flat_map(|sum| &sum.backlog)
+        .map(|job| job.waiting)
+        .sum();
+    let equal = sums.values().filter(|sum| sum.priority == priority);
+    let mut jobs: Vec<JobBacklog> = equal.flat_map(|sum| sum.backlog.clone()).collect();
+    jobs.sort_by_key(|job| job.left);
+    for job in &mut jobs {
+        ahead += job.waiting;
+        job.waiting = ahead;
+    }
+    let count = jobs.len();
+    if count == 0 {
+        return vec![JobBacklog {
+            left: 0,
+            waiting: ahead,
+        }];
+    }
+    let steps = WORK_STEPS.min(count);
+    (1..=steps)
+        .map(|step| jobs[step * count / steps - 1])
+        .collect()
+}
+
 /// Returns the work of a job's waiting tasks, in core-milliseconds.
 fn waiting_work(job: &JobState, wall: WallTime) -> u64 {
     if job.spec.is_lasting() {
--- a/crates/turmeric-jobs/tests/decisions.rs
+++ b/crates/turmeric-jobs/tests/decisions.rs
@@ -9,8 +9,8 @@
 use turmeric_jobs::{
     AdmissionDecision, ClockReading, JobRank, JobSpec, JobUrgency, LeaseGrant, LeaseLimits,
     MissList, PaceControl, PlacementRequest, PressureSample, PressureTable, QueueDelay,
-    QueuePolicy, RankTier, RemainingWork, StepSpec, VmRoom, admit, choose_vm, judge_urgency,
-    load_of, rank_job,
+    QueuePolicy, RankTier, RemainingWork, StepSpec, VmRoom, WorkDelay, admit, choose_vm,
+    judge_urgency, load_of, rank_job,
 };
 use turmeric_types::{
     AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, SplitRandom, WallTime,
@@ -79,8 +79,9 @@
     let spec = job(vec![step(1000)]);
     let delay = QueueDelay {
         delay: Duration::from_millis(delay),
+        steps: Vec::new(),
     };
-    match admit(&spec, delay) {
+    match admit(&spec, &delay) {
         AdmissionDecision::Accept => assert!(taken),
         AdmissionDecision::Refuse { retry_after } => {
             assert!(!taken);
@@ -97,8 +98,33 @@
     };
     let delay = QueueDelay {
         delay: Duration::from_secs(600),
+        steps: Vec::new(),
     };
-    assert_eq!(admit(&job(vec![lasting]), delay), AdmissionDecision::Accept);
+    assert_eq!(
+        admit(&job(vec![lasting]), &delay),
+        AdmissionDecision::Accept
+    );
+}
+
+/// A few large jobs wait for a minute; small ones get room before them.
+#[test]
+fn a_small_job_is_not_refused_for_the_work_of_large_ones() {
+    let work_delay = |work, millis| WorkDelay {
+        work,
+        delay: Duration::from_millis(millis),
+    };
+    let delay = QueueDelay {
+        delay: Duration::from_secs(60),
+        steps: vec![work_delay(2_000, 100), work_delay(900_000, 60_000)],
+    };
+    let small = job(vec![step(1000)]);
+    assert_eq!(small.work(), 2000);
+    assert_eq!(admit(&small, &delay), AdmissionDecision::Accept);
+    let large = job(vec![step(1100)]);
+    assert!(matches!(
+        admit(&large, &delay),
+        AdmissionDecision::Refuse { .. }
+    ));
 }
 
 /// A backlog after a burst: jobs that can still come in time go first.
--- a/crates/turmeric-jobs/tests/leaving.rs
+++ b/crates/turmeric-jobs/tests/leaving.rs
@@ -246,6 +246,7 @@
         route: "r".to_owned(),
         waiting: 3,
         delay_millis: 900,
+        ..v1::QueueLoad::default()
     }];
     let mut next = leader(2, now).with_loads(found.clone());
     let mut spec = job(false);
