Tell a caller the truth when a request was tried twice, and a deaf leader its successor

Cause: read in the diff: a request that was passed on without an answer was refused afterwards by the entry itself, so that a job which the leader had stored could be told as not accepted. Change: TryOutcome joins what both tries say; a refusal is told only if neither may have been carried out. Agents that leave for a later leader say in their last message where that one takes callers' requests.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -191,7 +191,7 @@
 /// Keeps a link to the leader.
 async fn run_link(state: Arc<AgentState>, store: StoreClient) {
     let mut random = SplitRandom::new(state.clock.wall().as_millis());
-    let (seat_sender, mut seat) = watch::channel(v1::SeatRow::default());
+    let (seat_sender, seat) = watch::channel(v1::SeatRow::default());
     tokio::spawn(follow_seat(store.clone(), seat_sender));
     let mut known: Option<SocketAddr> = None;
     let mut epoch = 0;
@@ -199,7 +199,7 @@
     let mut is_told = false;
     loop {
         if is_told {
-            let row = seat.borrow_and_update().clone();
+            let row = seat.borrow().clone();
             (known, epoch) = (row.address.parse().ok(), row.epoch);
         } else {
             match store.read_one(&leader_ref(), CALL_TIMEOUT).await {
@@ -217,11 +217,8 @@
                 Ok((reader, writer)) => {
                     info!("linked to the leader", kv: { address = address.to_string() });
                     was_linked = true;
-                    let link = keep_link(&state, &store, reader, writer);
-                    let ended = tokio::select! {
-                        ended = link => ended,
-                        next = next_seat(&mut seat, epoch) => eyre!("epoch {next} leads"),
-                    };
+                    let next = next_seat(seat.clone(), epoch);
+                    let ended = keep_link(&state, &store, reader, writer, next).await;
                     warn!("leader lost", kv: { reason = format!("{:#}", ended) });
                 }
                 Err(error) => {
@@ -237,30 +234,33 @@
         let pause = tokio::time::sleep(SEARCH_INTERVAL + jitter);
         is_told = tokio::select! {
             () = pause => false,
-            _ = next_seat(&mut seat, epoch) => true,
+            _ = next_seat(seat.clone(), epoch) => true,
         };
     }
 }
 
 /// Waits until a later epoch leads than `epoch`.
-async fn next_seat(seat: &mut watch::Receiver<v1::SeatRow>, epoch: u64) -> u64 {
+async fn next_seat(mut seat: watch::Receiver<v1::SeatRow>, epoch: u64) -> v1::SeatRow {
     let next = seat.wait_for(|row| row.epoch > epoch).await;
-    let next = next.map(|row| row.epoch);
+    let next = next.map(|row| row.clone());
     match next {
-        Ok(epoch) => epoch,
+        Ok(row) => row,
         // Its follower runs as long as the process.
         Err(_) => std::future::pending().await,
     }
 }
 
-/// Reports and takes orders until the link fails; returns why.
+/// Reports and takes orders until the link fails or another entry leads; returns
+/// why.
 async fn keep_link(
     state: &AgentState,
     store: &StoreClient,
     mut reader: LinkReader,
     mut writer: LinkWriter,
+    successor: impl Future<Output = v1::SeatRow>,
 ) -> eyre::Report {
     let send = async {
+        tokio::pin!(successor);
         loop {
             let report = {
                 let now = state.clock.now();
@@ -276,7 +276,20 @@
                 return error;
             }
             tokio::time::sleep(REPORT_GAP).await;
-            let _ = tokio::time::timeout(REPORT_INTERVAL, state.news.notified()).await;
+            let news = tokio::time::timeout(REPORT_INTERVAL, state.news.notified());
+            let next = tokio::select! {
+                _ = news => continue,
+                next = &mut successor => next,
+            };
+            // A leader that the store turns away hears of its successor by this.
+            let farewell = v1::VmReport {
+                successor: next.callers_address,
+                ..v1::VmReport::default()
+            };
+            return match writer.send(&farewell).await {
+                Ok(()) => eyre!("epoch {} leads", next.epoch),
+                Err(error) => error,
+            };
         }
     };
     let receive = async {
--- a/crates/turmeric-daemon/src/hosted/callers.rs
+++ b/crates/turmeric-daemon/src/hosted/callers.rs
@@ -10,12 +10,12 @@
 use axum::http::{Method, Request, Response, StatusCode, header};
 use spdlog::info;
 use tokio::sync::watch;
-use turmeric_jobs::{AdmissionDecision, JobCode, QueueDelay, StorePath, admit};
+use turmeric_jobs::{AdmissionDecision, JobCode, QueueDelay, StorePath, TryOutcome, admit};
 use turmeric_platform::{
     OperatorConfig, QueueRoute, StoreClient, read_job, write_phase, write_waiting,
 };
 
-use super::forward::{ForwardEnd, ForwardPlan, LeaderForward, is_unknown};
+use super::forward::{ForwardEnd, ForwardPlan, LeaderForward, outcome_of};
 use super::intake::{self, WriteOutcome};
 use super::meters::ProcessMeters;
 use super::view::{LeaderView, OperatorView};
@@ -124,37 +124,58 @@
         return answer(StatusCode::PAYLOAD_TOO_LARGE, String::new());
     };
     let plan = ForwardPlan {
-        method: parts.method.clone(),
+        method: parts.method,
         host,
         path,
-        body: body.clone(),
+        body,
     };
-    // A request that would only wait for a store that does not answer is passed on
-    // at once; one whose call to the store fails, afterwards.
-    if may_forward
-        && state.is_store_lost()
-        && let ForwardEnd::Answered(response) = pass_on(state, code, plan.clone()).await
-    {
+    if !may_forward {
+        return serve_here(state, route, code, &plan).await;
+    }
+    serve_or_pass(state, route, code, plan).await
+}
+
+/// Serves a request here, or through the leader when the store does not answer
+/// this entry.
+async fn serve_or_pass(
+    state: &CallerState,
+    route: &QueueRoute,
+    code: JobCode,
+    plan: ForwardPlan,
+) -> Response<Body> {
+    // A request that would only wait for the store is passed on at once; one whose
+    // call to the store fails, afterwards.
+    if state.is_store_lost() {
+        return match pass_on(state, code, plan.clone()).await {
+            ForwardEnd::Answered(response) => response,
+            ForwardEnd::NotSent => serve_here(state, route, code, &plan).await,
+            ForwardEnd::Unknown => answer(StatusCode::GATEWAY_TIMEOUT, String::new()),
+        };
+    }
+    let response = serve_here(state, route, code, &plan).await;
+    let known = outcome_of(response.status());
+    if known == TryOutcome::Settled || !state.is_store_lost() {
         return response;
     }
-    let response = match parts.method {
-        Method::POST => submit(state, route, code, &body).await,
+    let passed = pass_on(state, code, plan).await;
+    match (known.and_then(passed.outcome()), passed) {
+        (TryOutcome::Unknown, _) => answer(StatusCode::GATEWAY_TIMEOUT, String::new()),
+        (_, ForwardEnd::Answered(passed)) => passed,
+        (_, ForwardEnd::NotSent | ForwardEnd::Unknown) => response,
+    }
+}
+
+async fn serve_here(
+    state: &CallerState,
+    route: &QueueRoute,
+    code: JobCode,
+    plan: &ForwardPlan,
+) -> Response<Body> {
+    match plan.method {
+        Method::POST => submit(state, route, code, &plan.body).await,
         Method::GET => show(state, code).await,
         Method::DELETE => cancel(state, code).await,
-        _ => return answer(StatusCode::METHOD_NOT_ALLOWED, String::new()),
-    };
-    let has_failed = response.status().is_server_error();
-    if !may_forward || !has_failed || !state.is_store_lost() {
-        return response;
-    }
-    let was_unknown = is_unknown(response.status());
-    match pass_on(state, code, plan).await {
-        // The earlier try may be stored yet, so that a refusal would be untrue.
-        ForwardEnd::Answered(passed) if was_unknown && !passed.status().is_success() => response,
-        ForwardEnd::Answered(passed) => passed,
-        ForwardEnd::NotSent | ForwardEnd::Unknown if was_unknown => response,
-        ForwardEnd::NotSent => response,
-        ForwardEnd::Unknown => answer(StatusCode::GATEWAY_TIMEOUT, String::new()),
+        _ => answer(StatusCode::METHOD_NOT_ALLOWED, String::new()),
     }
 }
 
--- a/crates/turmeric-daemon/src/hosted/forward.rs
+++ b/crates/turmeric-daemon/src/hosted/forward.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use spdlog::info;
+use turmeric_jobs::TryOutcome;
 
 use crate::http::{HttpClient, new_client};
 
@@ -111,10 +112,22 @@
     }
 }
 
-/// Returns whether an answer says that the job may be stored, now or later.
-pub(crate) fn is_unknown(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT
-    )
+impl ForwardEnd {
+    /// Returns what is known of the request.
+    pub(crate) fn outcome(&self) -> TryOutcome {
+        match self {
+            Self::Answered(response) => outcome_of(response.status()),
+            Self::NotSent => TryOutcome::Refused,
+            Self::Unknown => TryOutcome::Unknown,
+        }
+    }
+}
+
+/// Returns what a status says of a request.
+pub(crate) fn outcome_of(status: StatusCode) -> TryOutcome {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => TryOutcome::Refused,
+        status if status.is_server_error() => TryOutcome::Unknown,
+        _ => TryOutcome::Settled,
+    }
 }
--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -301,6 +301,10 @@
 
     fn take_report(&mut self, linked: LinkedReport) {
         let began_at = self.context.clock.now();
+        if !linked.report.successor.is_empty() {
+            self.take_successor(&linked.report.successor);
+            return;
+        }
         let report = match VmReport::read(linked.report) {
             Ok(report) => report,
             Err(error) => {
@@ -318,6 +322,19 @@
             .add(self.context.clock.now().since(began_at));
     }
 
+    /// Passes callers' requests to the entry that leads by an agent's word, as long as
+    /// no write shows who does.
+    fn take_successor(&self, address: &str) {
+        match address.parse() {
+            Ok(successor) => {
+                self.context
+                    .leader
+                    .send_modify(|view| view.callers = Some(successor));
+            }
+            Err(_) => warn!("a successor's address cannot be read", kv: { address = address }),
+        }
+    }
+
     fn take_operators(&mut self) {
         let view = self.context.operators.borrow().clone();
         self.scheduler.set_queues(view.queues());
--- a/crates/turmeric-daemon/src/hosted/leadership.rs
+++ b/crates/turmeric-daemon/src/hosted/leadership.rs
@@ -231,6 +231,7 @@
     let seat_row = v1::SeatRow {
         epoch,
         address: row.address.clone(),
+        callers_address: row.callers_address.clone(),
     };
     let put = |row, value| RowPut { row, value };
     let request = TxRequest {
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -31,5 +31,5 @@
 pub use scheduler::{CommitPlan, JobScheduler, LeaderTerms};
 pub use scheduler::{JobNote, LossCause, RecallCause};
 pub use spec::{JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
-pub use store_path::StorePath;
+pub use store_path::{StorePath, TryOutcome};
 pub use succession::{LeadReading, SuccessionStep, SuccessionWatch, VacancyCause};
--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -201,6 +201,7 @@
             refused: self.refused.iter().map(write_key).collect(),
             taken_orders: self.taken_orders,
             pressure: self.pressure.as_ref().map(write_pressure),
+            successor: String::new(),
         }
     }
 
--- a/crates/turmeric-jobs/src/store_path.rs
+++ b/crates/turmeric-jobs/src/store_path.rs
@@ -46,3 +46,29 @@
         self.failures >= FAILURE_LIMIT && now < self.failed_at.after(DOUBT_TERM)
     }
 }
+
+/// What is known of a request after a try, here or at the entry that it was passed
+/// to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TryOutcome {
+    /// It was answered for good.
+    Settled,
+    /// It was not carried out and never will be.
+    Refused,
+    /// It may have been carried out, or may be yet.
+    Unknown,
+}
+
+impl TryOutcome {
+    /// Returns what is known after another try.
+    ///
+    /// Load pattern: a try whose answer is lost, followed by one that is refused. The
+    /// caller must not be told that the job was not accepted.
+    pub fn and_then(self, next: Self) -> Self {
+        match (self, next) {
+            (Self::Settled, _) | (_, Self::Settled) => Self::Settled,
+            (Self::Unknown, _) | (_, Self::Unknown) => Self::Unknown,
+            (Self::Refused, Self::Refused) => Self::Refused,
+        }
+    }
+}
--- a/crates/turmeric-jobs/tests/store_path.rs
+++ b/crates/turmeric-jobs/tests/store_path.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use turmeric_jobs::StorePath;
+use rstest::rstest;
+use turmeric_jobs::{StorePath, TryOutcome};
 use turmeric_types::MonoTime;
 
 fn at(millis: u64) -> MonoTime {
@@ -37,6 +38,21 @@
     assert!(!path.is_lost(at(2000)));
 }
 
+/// A refusal is told only when no try may have been carried out.
+#[rstest]
+#[case(TryOutcome::Unknown, TryOutcome::Refused, TryOutcome::Unknown)]
+#[case(TryOutcome::Refused, TryOutcome::Unknown, TryOutcome::Unknown)]
+#[case(TryOutcome::Refused, TryOutcome::Refused, TryOutcome::Refused)]
+#[case(TryOutcome::Unknown, TryOutcome::Settled, TryOutcome::Settled)]
+#[case(TryOutcome::Settled, TryOutcome::Refused, TryOutcome::Settled)]
+fn a_lost_answer_is_never_told_as_a_refusal(
+    #[case] first: TryOutcome,
+    #[case] next: TryOutcome,
+    #[case] known: TryOutcome,
+) {
+    assert_eq!(first.and_then(next), known);
+}
+
 proptest! {
     /// A store that loses a third of its answers keeps most jobs.
     #[test]
