Let sums of absurd jobs saturate; split the follower's loop

Cause: read in the diff: 40 jobs of the largest size that is accepted overflow the sum of waiting work, which ends the leader's loop in a build with overflow checks, and the seed of a follower's draw overflows for a long name. Change: sums saturate, the seed wraps; try_lead is a function of its own and the log's sums have names. Measured: absurd_jobs_do_not_end_the_leader fails before, passes now.

--- a/crates/turmeric-daemon/src/hosted/leadership.rs
+++ b/crates/turmeric-daemon/src/hosted/leadership.rs
@@ -7,7 +7,7 @@
 
 use spdlog::{info, warn};
 use tokio::sync::watch;
-use turmeric_jobs::{LeadReading, SuccessionStep, SuccessionWatch};
+use turmeric_jobs::{LeadReading, SuccessionStep, SuccessionWatch, VacancyCause};
 use turmeric_platform::{FeedAnswer, RowPut, RowRef, StoreClient, StoreRow, TxAnswer, TxRequest};
 use turmeric_schema::{Message, v1};
 use turmeric_types::{CoreCount, SplitRandom};
@@ -146,32 +146,23 @@
                     info!("store regained");
                 }
                 is_reached = true;
+                let version = row.as_ref().map_or(0, |row| row.version);
                 let leader = row.as_ref().map(read_leader);
                 if let Some(leader) = &leader {
                     context.leader.send_replace(LeaderView::new(leader, now));
                 }
-                let version = row.as_ref().map_or(0, |row| row.version);
                 let reading = leader
                     .as_ref()
                     .map(|leader| lead_reading(&context, version, leader));
-                let step = watcher.take_reading(reading, now.since(asked_at), now);
                 let is_stopping = context.callers.is_stopping.load(Ordering::Relaxed);
-                match step {
+                match watcher.take_reading(reading, now.since(asked_at), now) {
                     SuccessionStep::WaitUntil(due) => pause = pause.min(due.since(now)),
                     SuccessionStep::TakeOver(cause) if !is_stopping => {
                         let earlier = leader.unwrap_or_default();
-                        info!("leader's row is vacant", kv: {
-                            cause = format!("{cause:?}"), epoch = earlier.epoch,
-                            holder = earlier.holder, row_version = version
-                        });
-                        if let Some(seat) = take_over(&context, version, earlier).await {
-                            let end = run_leader(&context, seat, &mut links).await;
-                            context.meters.lead_epoch.set(0);
-                            context.meters.open_jobs.set(0);
-                            watcher = new_watch(&context, &mut random);
-                            if end == LeadEnd::Released {
-                                return;
-                            }
+                        match try_lead(&context, cause, version, earlier, &mut links).await {
+                            Some(LeadEnd::Released) => return,
+                            Some(LeadEnd::Lost) => watcher = new_watch(&context, &mut random),
+                            None => {}
                         }
                     }
                     SuccessionStep::TakeOver(_) | SuccessionStep::Follow => {}
@@ -190,6 +181,26 @@
     }
 }
 
+/// Takes a vacant row over and leads; returns how that ended, or [`None`] where
+/// another entry was faster.
+async fn try_lead(
+    context: &LeadContext,
+    cause: VacancyCause,
+    version: u64,
+    earlier: v1::LeaderRow,
+    links: &mut tokio::sync::mpsc::Receiver<AgentLink>,
+) -> Option<LeadEnd> {
+    info!("leader's row is vacant", kv: {
+        cause = format!("{cause:?}"), epoch = earlier.epoch, holder = earlier.holder,
+        row_version = version
+    });
+    let seat = take_over(context, version, earlier).await?;
+    let end = run_leader(context, seat, links).await;
+    context.meters.lead_epoch.set(0);
+    context.meters.open_jobs.set(0);
+    Some(end)
+}
+
 fn new_watch(context: &LeadContext, random: &mut SplitRandom) -> SuccessionWatch {
     SuccessionWatch::new(context.processor, random.next_below(1000) as u32)
 }
@@ -197,8 +208,9 @@
 /// Returns bits that differ by name, so that entries which start at the same
 /// moment draw different numbers.
 fn name_bits(name: &str) -> u64 {
-    name.bytes()
-        .fold(0, |bits, byte| bits * 131 + u64::from(byte))
+    name.bytes().fold(0, |bits: u64, byte| {
+        bits.wrapping_mul(131).wrapping_add(u64::from(byte))
+    })
 }
 
 fn lead_reading(context: &LeadContext, version: u64, leader: &v1::LeaderRow) -> LeadReading {
--- a/crates/turmeric-jobs/src/scheduler/load.rs
+++ b/crates/turmeric-jobs/src/scheduler/load.rs
@@ -1,6 +1,7 @@
 //! How loaded the queues are, for admission and for callers who ask.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
 use turmeric_schema::v1;
@@ -25,6 +26,26 @@
     priority: u32,
 }
 
+/// Jobs of one queue and urgency, for the log.
+#[derive(Default)]
+struct LoadSum {
+    jobs: usize,
+    /// Tasks that wait.
+    tasks: usize,
+    /// Their work, in core-milliseconds.
+    work: u64,
+}
+
+impl fmt::Display for LoadSum {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} jobs, {} tasks wait, {} core-ms",
+            self.jobs, self.tasks, self.work
+        )
+    }
+}
+
 #[derive(Clone, Copy)]
 struct JobBacklog {
     left: u64,
@@ -58,19 +79,17 @@
     /// Describes the waiting work by queue and urgency and the VMs' processors, for
     /// the log.
     pub fn describe_load(&self, now: MonoTime, wall: WallTime) -> String {
-        let mut sums: BTreeMap<(&str, JobUrgency), (usize, usize, u64)> = BTreeMap::new();
+        let mut sums: BTreeMap<(&str, JobUrgency), LoadSum> = BTreeMap::new();
         for (code, job) in self.jobs.iter().filter(|(_, job)| !job.phase.is_over()) {
             let urgency = judge_urgency(&job.spec, job.remaining(*code), wall);
             let sum = sums.entry((&job.spec.queue.route, urgency)).or_default();
-            sum.0 += 1;
-            sum.1 += job.tasks.values().filter(|task| task.is_waiting()).count();
-            sum.2 += waiting_work(job, wall);
+            sum.jobs += 1;
+            sum.tasks += job.tasks.values().filter(|task| task.is_waiting()).count();
+            sum.work = sum.work.saturating_add(waiting_work(job, wall));
         }
         let mut text: String = sums
             .iter()
-            .map(|((route, urgency), (jobs, tasks, work))| {
-                format!("{route} {urgency:?}: {jobs} jobs, {tasks} tasks wait, {work} core-ms; ")
-            })
+            .map(|((route, urgency), sum)| format!("{route} {urgency:?}: {sum}; "))
             .collect();
         let rooms = self.vms.iter();
         let rooms: Vec<VmRoom> = rooms
@@ -136,7 +155,12 @@
         }
         let capacity = self.batch_capacity();
         // Without a VM that takes tasks nothing can be said of it.
-        let delay = |ahead: u64| (ahead * 1000).checked_div(capacity).unwrap_or(0);
+        let delay = |ahead: u64| {
+            ahead
+                .saturating_mul(1000)
+                .checked_div(capacity)
+                .unwrap_or(0)
+        };
         sums.iter()
             .map(|(route, sum)| {
                 let steps = work_steps(&sums, sum.priority);
@@ -184,15 +208,14 @@
 /// that the job has: all of better priorities, and of its own what has no more.
 fn work_steps(sums: &BTreeMap<&str, QueueSum>, priority: u32) -> Vec<JobBacklog> {
     let better = sums.values().filter(|sum| sum.priority < priority);
-    let mut ahead: u64 = better
+    let mut ahead = better
         .flat_map(|sum| &sum.backlog)
-        .map(|job| job.waiting)
-        .sum();
+        .fold(0, |ahead: u64, job| ahead.saturating_add(job.waiting));
     let equal = sums.values().filter(|sum| sum.priority == priority);
     let mut jobs: Vec<JobBacklog> = equal.flat_map(|sum| sum.backlog.clone()).collect();
     jobs.sort_by_key(|job| job.left);
     for job in &mut jobs {
-        ahead += job.waiting;
+        ahead = ahead.saturating_add(job.waiting);
         job.waiting = ahead;
     }
     let count = jobs.len();
--- a/crates/turmeric-jobs/tests/leaving.rs
+++ b/crates/turmeric-jobs/tests/leaving.rs
@@ -357,3 +357,24 @@
     let starts = leader.orders("a", now).unwrap().starts;
     assert_eq!(read_key(starts[0].key.as_ref()).unwrap().run.get(), 1);
 }
+
+/// Jobs of absurd size, each within what a job may ask for, wait together; the load
+/// of their queue must still be reckoned.
+#[test]
+fn absurd_jobs_do_not_end_the_leader() {
+    let (now, wall) = (MonoTime::from_millis(10_000), WallTime::from_millis(10_000));
+    let mut scheduler = leader(1, MonoTime::from_millis(0));
+    for code in 1..40 {
+        let mut spec = job(false);
+        for step in &mut spec.steps {
+            step.count = 250;
+            step.need.cores = CoreCount::from_millicores(100_000_000);
+            step.estimate = Duration::from_secs(366 * 24 * 3600);
+        }
+        spec.check().unwrap();
+        scheduler.add_job(JobCode::new(code), spec, wall);
+    }
+    let plan = scheduler.begin_commit(now, wall).unwrap();
+    scheduler.commit_done(&plan, now);
+    assert!(!scheduler.describe_load(now, wall).is_empty());
+}
