Let a file choose how each decision is made

Cause: a way of a decision could be tried only by a patch, so a comparison needed one build for each way, and no log said which way had run. Change: policies are named, each with its ways; `--policies FILE` chooses some, the others keep their defaults, and the first log line names all. Two policies to begin with, both with the way that stood as the default: when a starved job may interfere (always, below-half-use), and whether serving tasks are moved together (none, clear-vms).

--- a/crates/turmeric-daemon/src/config/hosted.rs
+++ b/crates/turmeric-daemon/src/config/hosted.rs
@@ -4,6 +4,7 @@
 
 use clap::ArgMatches;
 use spdlog::Level;
+use turmeric_jobs::PolicySet;
 use turmeric_platform::BootSettings;
 use turmeric_types::FindingList;
 
@@ -25,6 +26,11 @@
         default: Some("7721"),
         help: "Port of this VM's IP address on which /metrics is served",
     },
+    FlagSpec {
+        name: "policies",
+        default: None,
+        help: "JSON file that names a way for some policies, e.g. {\"starvation\": \"always\"}",
+    },
 ];
 
 /// Settings of a role on the users' platform.
@@ -36,6 +42,8 @@
     pub(crate) level: Level,
     /// Address at which metrics are served.
     pub(crate) metrics: SocketAddr,
+    /// The scheduler's policies.
+    pub(crate) policies: PolicySet,
 }
 
 impl HostedConfig {
@@ -48,12 +56,15 @@
         let mut reader = FlagReader::new(matches);
         let level = reader.value::<LogLevel>("log-level");
         let port = reader.value::<u16>("metrics-port");
+        let policies = reader.policies("policies");
         let mut findings = reader.findings;
         let boot = findings.collect("the platform's settings", BootSettings::from_environment());
-        let config = level.zip(port).zip(boot).map(|((level, port), boot)| Self {
+        let values = level.zip(port).zip(policies).zip(boot);
+        let config = values.map(|(((level, port), policies), boot)| Self {
             metrics: SocketAddr::new(boot.ip, port),
             boot,
             level: level.0,
+            policies,
         });
         findings.into_result(config)
     }
--- a/crates/turmeric-daemon/src/config/reader.rs
+++ b/crates/turmeric-daemon/src/config/reader.rs
@@ -1,11 +1,13 @@
 //! Reads typed values of flags, and reports all findings together.
 
+use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::time::Duration;
 
 use clap::ArgMatches;
+use turmeric_jobs::PolicySet;
 use turmeric_types::FindingList;
 
 /// Returns the name of the environment variable of a flag.
@@ -59,6 +61,23 @@
         self.value(flag).map(Some)
     }
 
+    /// Reads the policies from the file that a flag names; the default ones without a file.
+    pub(crate) fn policies(&mut self, flag: &str) -> Option<PolicySet> {
+        let Some(path) = self.text(flag) else {
+            return Some(PolicySet::default());
+        };
+        match read_policies(path) {
+            Ok(set) => Some(set),
+            Err(findings) => {
+                for finding in findings.iter() {
+                    let place = format!("{} in {path}", finding.place);
+                    self.findings.push(place, finding.message.clone());
+                }
+                None
+            }
+        }
+    }
+
     /// Reads an IP address and port.
     pub(crate) fn address(&mut self, flag: &str) -> Option<SocketAddr> {
         let text = self.text(flag).unwrap_or_default();
@@ -114,3 +133,14 @@
         _ => Err(failure()),
     }
 }
+
+/// Reads a file that maps names of policies to names of their ways.
+fn read_policies(path: &str) -> Result<PolicySet, FindingList> {
+    let mut findings = FindingList::new();
+    let text = findings.collect("the policies", std::fs::read_to_string(path));
+    let names = text.and_then(|text| {
+        let names: Result<BTreeMap<String, String>, _> = serde_json::from_str(&text);
+        findings.collect("the policies", names)
+    });
+    PolicySet::from_names(&findings.into_result(names)?)
+}
--- a/crates/turmeric-daemon/src/hosted/decision_log.rs
+++ b/crates/turmeric-daemon/src/hosted/decision_log.rs
@@ -158,6 +158,7 @@
         EvictionCause::Draining => "draining",
         EvictionCause::Slowed => "slowed",
         EvictionCause::Stalled => "stalled",
+        EvictionCause::Consolidated => "consolidated",
     }
 }
 
--- a/crates/turmeric-daemon/src/hosted/entry.rs
+++ b/crates/turmeric-daemon/src/hosted/entry.rs
@@ -107,6 +107,7 @@
             confirmation_timeout: LEADER_CONFIRMATION_TIMEOUT,
             retention: boot.state_retention + RETENTION_MARGIN,
         },
+        policies: config.policies,
         operators,
         leader: leader_sender,
         callers: Arc::clone(&callers),
--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -201,6 +201,7 @@
         context.address.to_string(),
         context.clock.now(),
     )
+    .with_policies(context.policies)
     .with_loads(grant.queues.clone())
     .with_callers_address(context.callers.address.to_string())
     .with_cores(context.processor, grant.strongest);
--- a/crates/turmeric-daemon/src/hosted/leadership.rs
+++ b/crates/turmeric-daemon/src/hosted/leadership.rs
@@ -52,6 +52,7 @@
     pub(crate) store: StoreClient,
     pub(crate) clock: ProcessClock,
     pub(crate) terms: turmeric_jobs::LeaderTimeouts,
+    pub(crate) policies: turmeric_jobs::PolicySet,
     pub(crate) operators: watch::Receiver<OperatorView>,
     pub(crate) leader: watch::Sender<LeaderView>,
     pub(crate) callers: Arc<CallerState>,
--- a/crates/turmeric-daemon/src/run.rs
+++ b/crates/turmeric-daemon/src/run.rs
@@ -79,6 +79,7 @@
     info!("process is starting", kv: {
         version = env!("CARGO_PKG_VERSION"),
         zone = config.boot.zone,
+        policies = config.policies.to_string(),
     });
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- /dev/null
+++ b/crates/turmeric-jobs/src/policy.rs
@@ -0,0 +1,144 @@
+//! Policies: the ways in which each decision of the scheduler can be made.
+//!
+//! A policy is an enum with a variant a way. Each way has a name, so that a settings file can
+//! choose it and a comparison of two files can measure it. The default is the way that was
+//! better in the comparisons of `docs/design/`.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use turmeric_types::FindingList;
+
+/// Error for a way that a policy does not have.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PolicyError {
+    name: String,
+    ways: &'static [&'static str],
+}
+
+impl fmt::Display for PolicyError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "\"{}\" is not a way of this policy; its ways are {}",
+            self.name,
+            self.ways.join(", ")
+        )
+    }
+}
+
+impl std::error::Error for PolicyError {}
+
+/// Declares policies, with the names of their ways.
+macro_rules! policies {
+    ($(
+        $(#[$doc:meta])*
+        $policy:ident { $( $(#[$way_doc:meta])* $way:ident = $name:literal, )+ }
+    )+) => {
+        $(
+            $(#[$doc])*
+            #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+            pub enum $policy {
+                $( $(#[$way_doc])* $way, )+
+            }
+
+            impl $policy {
+                /// Names of all ways.
+                pub const NAMES: &'static [&'static str] = &[$($name),+];
+            }
+
+            impl fmt::Display for $policy {
+                fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                    formatter.write_str(match self {
+                        $( Self::$way => $name, )+
+                    })
+                }
+            }
+
+            impl std::str::FromStr for $policy {
+                type Err = PolicyError;
+
+                fn from_str(text: &str) -> Result<Self, PolicyError> {
+                    match text {
+                        $( $name => Ok(Self::$way), )+
+                        _ => Err(PolicyError { name: text.to_owned(), ways: Self::NAMES }),
+                    }
+                }
+            }
+        )+
+    };
+}
+
+/// Declares the set of all policies, with the name of each in a settings file.
+macro_rules! policy_set {
+    ($( $(#[$doc:meta])* $field:ident: $policy:ident = $name:literal, )+) => {
+        /// The way chosen for each policy.
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+        pub struct PolicySet {
+            $( $(#[$doc])* pub $field: $policy, )+
+        }
+
+        impl PolicySet {
+            /// Names of all policies.
+            pub const NAMES: &'static [&'static str] = &[$($name),+];
+
+            /// Creates the set in which the named policies have the named ways, and all
+            /// others their defaults.
+            ///
+            /// # Errors
+            ///
+            /// Returns all unknown policies and ways together.
+            pub fn from_names(names: &BTreeMap<String, String>) -> Result<Self, FindingList> {
+                let mut set = Self::default();
+                let mut findings = FindingList::new();
+                for (policy, way) in names {
+                    match policy.as_str() {
+                        $( $name => {
+                            if let Some(way) = findings.collect(policy.clone(), way.parse()) {
+                                set.$field = way;
+                            }
+                        } )+
+                        _ => findings.push(
+                            policy.clone(),
+                            format!("no such policy; the policies are {}", Self::NAMES.join(", ")),
+                        ),
+                    }
+                }
+                findings.into_result(Some(set))
+            }
+        }
+
+        impl fmt::Display for PolicySet {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                let ways = [$( format!("{} {}", $name, self.$field) ),+];
+                formatter.write_str(&ways.join(", "))
+            }
+        }
+    };
+}
+
+policies! {
+    /// Whether serving tasks are moved together, so that other VMs have none.
+    ConsolidationPolicy {
+        /// Serving tasks stay where they are.
+        #[default]
+        None = "none",
+        /// A VM is cleared when its serving tasks fit on VMs that have others.
+        ClearVms = "clear-vms",
+    }
+    /// When a job of which no task runs may interfere with serving tasks.
+    StarvationPolicy {
+        /// Whenever it has waited long enough.
+        #[default]
+        Always = "always",
+        /// Only while less than half of the service's processors are reserved.
+        BelowHalfUse = "below-half-use",
+    }
+}
+
+policy_set! {
+    /// Whether serving tasks are moved together, so that other VMs have none.
+    consolidation: ConsolidationPolicy = "consolidation",
+    /// When a job of which no task runs may interfere with serving tasks.
+    starvation: StarvationPolicy = "starvation",
+}
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -5,6 +5,7 @@
 //! leader takes effect after a takeover.
 
 mod commit;
+mod consolidate;
 mod ends;
 mod load;
 mod notes;
@@ -21,8 +22,9 @@
 
 use crate::{
     AttemptKey, EstimateTable, HeadroomTable, JobCode, JobPhase, JobSpec, JobState, LeaseLimits,
-    QueuePolicy, TaskName,
+    PolicySet, QueuePolicy, TaskName,
 };
+use consolidate::MoveReservation;
 use notes::EventList;
 use vm::{VmAttempt, VmState};
 
@@ -45,6 +47,7 @@
 #[derive(Debug)]
 pub struct JobScheduler {
     timeouts: LeaderTimeouts,
+    policies: PolicySet,
     epoch: u64,
     holder: String,
     address: String,
@@ -72,6 +75,9 @@
     is_releasing: bool,
     /// The VM that each task was evicted from, and until when the task is not placed there.
     avoided: BTreeMap<TaskName, (String, MonoTime)>,
+    /// Space reserved for long-running tasks that are being moved.
+    moves: BTreeMap<TaskName, MoveReservation>,
+    consolidation_due: MonoTime,
     headroom: HeadroomTable,
     estimates: EstimateTable,
     headroom_saved_at: MonoTime,
@@ -92,6 +98,7 @@
     ) -> Self {
         Self {
             timeouts,
+            policies: PolicySet::default(),
             epoch,
             holder,
             address,
@@ -112,6 +119,8 @@
             pending_updates: BTreeSet::new(),
             is_releasing: false,
             avoided: BTreeMap::new(),
+            moves: BTreeMap::new(),
+            consolidation_due: now,
             headroom: HeadroomTable::new(),
             estimates: EstimateTable::new(),
             headroom_saved_at: now,
@@ -121,6 +130,12 @@
         }
     }
 
+    /// Decides by `policies` instead of the default ones.
+    pub fn with_policies(mut self, policies: PolicySet) -> Self {
+        self.policies = policies;
+        self
+    }
+
     /// Publishes the earlier leader's queue loads until enough VMs have reported.
     pub fn with_loads(mut self, loads: Vec<v1::QueueLoad>) -> Self {
         self.loads = loads;
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -420,6 +420,7 @@
             self.evict_stalled(now);
             self.evict_slowed(now);
             self.evict_draining(now);
+            self.consolidate(now);
         }
     }
 
--- a/crates/turmeric-jobs/src/scheduler/notes.rs
+++ b/crates/turmeric-jobs/src/scheduler/notes.rs
@@ -19,6 +19,8 @@
     Slowed,
     /// It made no progress.
     Stalled,
+    /// It is a serving task, moved to a VM with others so that its VM has none.
+    Consolidated,
 }
 
 /// Why an attempt counts as ended although its worker reported no end.
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -10,8 +10,8 @@
 use super::vm::VmAttempt;
 use crate::{
     AttemptKey, AttemptLocation, AttemptNumber, JobCode, JobPhase, JobRank, JobState,
-    PlacementFailures, PlacementRequest, TaskName, TaskState, VmCapacity, choose_vm, judge_urgency,
-    rank_job,
+    PlacementFailures, PlacementRequest, StarvationPolicy, TaskName, TaskState, VmCapacity,
+    choose_vm, judge_urgency, rank_job,
 };
 
 /// A job of which nothing has run for this long may interfere with serving tasks. The users'
@@ -22,10 +22,36 @@
 struct PlacementRound {
     capacities: BTreeMap<String, VmCapacity>,
     failures: PlacementFailures,
+    usage: ServiceUsage,
     now: MonoTime,
     wall: WallTime,
 }
 
+/// Reserved and all processors of the VMs of each service, in thousandths.
+#[derive(Default)]
+struct ServiceUsage {
+    totals: BTreeMap<String, (u64, u64)>,
+}
+
+impl ServiceUsage {
+    fn new<'a>(capacities: impl Iterator<Item = &'a VmCapacity>) -> Self {
+        let mut usage = Self::default();
+        for vm in capacities {
+            let total = usage.totals.entry(vm.service.clone()).or_default();
+            let (free, all) = (vm.free.cores.as_millicores(), vm.cores.as_millicores());
+            total.0 += all.saturating_sub(free);
+            total.1 += all;
+        }
+        usage
+    }
+
+    /// Returns whether less than half of the service's processors are reserved.
+    fn is_below_half(&self, service: &str) -> bool {
+        let total = self.totals.get(service);
+        total.is_none_or(|(reserved, all)| reserved * 2 < *all)
+    }
+}
+
 /// A task and the VM chosen for it.
 struct TaskPlacement {
     task: TaskName,
@@ -42,19 +68,13 @@
         if self.is_releasing {
             return 0;
         }
-        let capacities: BTreeMap<String, VmCapacity> = self
-            .vms
-            .iter()
-            .filter(|(_, vm)| !self.closed_zones.contains(&vm.zone))
-            .filter_map(|(name, vm)| {
-                Some((name.clone(), vm.free_capacity(name, &self.headroom, now)?))
-            })
-            .collect();
+        let capacities = self.capacities(now);
         if capacities.is_empty() {
             return 0;
         }
         let mut placed = 0;
         let mut round = PlacementRound {
+            usage: ServiceUsage::new(capacities.values()),
             capacities,
             failures: PlacementFailures::new(),
             now,
@@ -169,8 +189,14 @@
             is_starved: false,
         };
         let is_idle = job.tasks.values().all(|state| state.location.is_none());
-        let is_starved = is_idle && round.wall > job.spec.accepted_at.after(STARVATION_TIMEOUT);
-        if !is_starved && round.failures.covers(service, step) {
+        let may_interfere = match self.policies.starvation {
+            StarvationPolicy::Always => true,
+            StarvationPolicy::BelowHalfUse => round.usage.is_below_half(service),
+        };
+        let is_starved =
+            may_interfere && is_idle && round.wall > job.spec.accepted_at.after(STARVATION_TIMEOUT);
+        let has_reservation = waiting.iter().any(|task| self.moves.contains_key(task));
+        if !is_starved && !has_reservation && round.failures.covers(service, step) {
             return Vec::new();
         }
         // Only a gang restores the capacities. Copying them for each step of a backlog
@@ -178,8 +204,20 @@
         let saved = step.is_gang.then(|| round.capacities.clone());
         let mut chosen: Vec<TaskPlacement> = Vec::new();
         for task in waiting {
+            let attempt = job
+                .tasks
+                .get(&task)
+                .map_or(AttemptNumber::default(), |state| state.attempt);
+            if let Some(vm) = self.reserved_vm(&task, round) {
+                chosen.push(TaskPlacement {
+                    task,
+                    attempt: attempt.next(),
+                    vm,
+                });
+                continue;
+            }
             let placed = |vm: &str| {
-                let existing = self.vms.get(vm).map_or(0, |vm| vm.count_step(&first));
+                let existing = self.count_step(vm, &first);
                 existing + chosen.iter().filter(|placement| placement.vm == vm).count() as u32
             };
             let avoided = self.avoided_vm(&task, round.now);
@@ -209,10 +247,6 @@
             if let Some(capacity) = round.capacities.get_mut(&vm) {
                 capacity.add(&task, step, &self.headroom);
             }
-            let attempt = job
-                .tasks
-                .get(&task)
-                .map_or(AttemptNumber::default(), |state| state.attempt);
             chosen.push(TaskPlacement {
                 task,
                 attempt: attempt.next(),
@@ -238,6 +272,12 @@
         chosen
     }
 
+    /// Returns the VM on which space is reserved for a task that is being moved.
+    fn reserved_vm(&self, task: &TaskName, round: &PlacementRound) -> Option<String> {
+        let vm = &self.moves.get(task)?.vm;
+        round.capacities.contains_key(vm).then(|| vm.clone())
+    }
+
     /// Assigns the tasks to the chosen VMs; the next commit records it in the store.
     fn assign(&mut self, code: JobCode, chosen: Vec<TaskPlacement>, now: MonoTime) {
         if chosen.is_empty() {
@@ -253,6 +293,7 @@
         let revision = job.revision;
         share_checkpoint(job, &chosen);
         for placement in chosen {
+            self.moves.remove(&placement.task);
             let Some(vm) = self.vms.get_mut(&placement.vm) else {
                 continue;
             };
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    fn record_eviction(&mut self, name: &str, key: AttemptKey, cause: EvictionCause) {
+    pub(super) fn record_eviction(&mut self, name: &str, key: AttemptKey, cause: EvictionCause) {
         self.events.push(JobEvent::Evicted {
             key,
             vm: name.to_owned(),
@@ -97,12 +97,8 @@
     }
 
     /// Returns the free capacity of each VM on which tasks may be placed.
-    fn open_capacities(&self, now: MonoTime) -> Vec<VmCapacity> {
-        self.vms
-            .iter()
-            .filter(|(_, vm)| !self.closed_zones.contains(&vm.zone))
-            .filter_map(|(name, vm)| vm.free_capacity(name, &self.headroom, now))
-            .collect()
+    pub(super) fn open_capacities(&self, now: MonoTime) -> Vec<VmCapacity> {
+        self.capacities(now).into_values().collect()
     }
 
     /// Marks an attempt as evicted if another VM has free capacity for its task.
@@ -133,7 +129,7 @@
         };
         let others = capacities.iter().filter(|capacity| capacity.vm != name);
         let found = choose_vm(&request, others, |vm| {
-            self.vms.get(vm).map_or(0, |vm| vm.count_step(&key.task))
+            self.count_step(vm, &key.task.first_of_step())
         });
         let Some(found) = found.map(|capacity| capacity.vm.clone()) else {
             return false;
