--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -30,7 +30,10 @@
 pub use order::{JobRank, JobUrgency, RankTier, RemainingWork, judge_urgency, rank_job};
 pub use pace::{BestEffortNeighbour, InterferenceTable, ServingNeighbour, choose_paces};
 pub use placement::{PlacementFailures, PlacementRequest, ServingHeadroom, VmCapacity, choose_vm};
-pub use policy::{ConsolidationPolicy, PolicyError, PolicySet, StarvationPolicy};
+pub use policy::{
+    ConsolidationPolicy, LongRunningOrder, LongRunningStart, PolicyError, PolicySet,
+    StarvationPolicy,
+};
 pub use progress::{AttemptLocation, JobPhase, JobState, TaskState};
 pub use report::{AttemptEnd, AttemptStatus, EndKind, EndpointInfo, VmReport, read_key, write_key};
 pub use scheduler::{CommitPlan, JobScheduler, LeaderTimeouts};
--- a/crates/turmeric-jobs/src/order.rs
+++ b/crates/turmeric-jobs/src/order.rs
@@ -12,10 +12,17 @@
 //! would be late for as long; if the stream goes first, a long-running task starts a few
 //! seconds later. So jobs in time go before long-running tasks of the same or a worse
 //! priority.
+//!
+//! Load pattern: many long-running jobs arrive at once, and some allow only a few of their
+//! tasks on one VM. If such a job comes last, the VMs that the others use are full, and it
+//! takes a VM of its own for each task. So the job that needs the most VMs goes first, and
+//! the others fill what it leaves.
+
+use std::cmp::Reverse;
 
 use turmeric_types::WallTime;
 
-use crate::JobSpec;
+use crate::{JobSpec, LongRunningOrder};
 
 /// How a job stands against its objective.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -59,6 +66,8 @@
     pub priority: u32,
     /// The job runs until it is cancelled.
     pub is_long_running: bool,
+    /// Number of VMs that a long-running job needs at least; the widest job goes first.
+    pub width: Reverse<u32>,
     /// Estimated work of the tasks that are not placed yet, in core-milliseconds.
     pub core_millis: u64,
     /// When the job was accepted.
@@ -84,6 +93,27 @@
     }
 }
 
+impl JobRank {
+    /// Ranks a long-running job among others by `order`.
+    pub fn with_order(self, order: LongRunningOrder, spec: &JobSpec) -> Self {
+        let width = match order {
+            LongRunningOrder::LeastWork => 0,
+            LongRunningOrder::WidestFirst => long_running_width(spec),
+        };
+        Self {
+            width: Reverse(width),
+            ..self
+        }
+    }
+}
+
+/// Returns how many VMs the long-running steps need because of their limit of tasks on each.
+fn long_running_width(spec: &JobSpec) -> u32 {
+    let steps = spec.steps.iter().filter(|step| step.is_long_running);
+    let widths = steps.filter_map(|step| Some(step.count.div_ceil(step.vm_limit?.max(1))));
+    widths.max().unwrap_or_default()
+}
+
 /// Returns the rank of a job among those that wait to be placed.
 pub fn rank_job(spec: &JobSpec, remaining: RemainingWork, now: WallTime) -> JobRank {
     let tier = match judge_urgency(spec, remaining, now) {
@@ -95,6 +125,7 @@
         tier,
         priority: spec.queue.priority,
         is_long_running: spec.is_long_running(),
+        width: Reverse(0),
         core_millis: remaining.core_millis,
         accepted_at: spec.accepted_at,
     }
--- a/crates/turmeric-jobs/src/policy.rs
+++ b/crates/turmeric-jobs/src/policy.rs
@@ -126,6 +126,24 @@
         /// A VM is cleared when its serving tasks fit on VMs that have others.
         ClearVms = "clear-vms",
     }
+    /// In which order long-running jobs of equal rank are placed.
+    LongRunningOrder {
+        /// The job with the least work first.
+        #[default]
+        LeastWork = "least-work",
+        /// The job that needs the most VMs first, because of a limit of tasks on each.
+        WidestFirst = "widest-first",
+    }
+
+    /// When a long-running job that has arrived is placed.
+    LongRunningStart {
+        /// At once.
+        #[default]
+        AtOnce = "at-once",
+        /// After a moment, together with others that arrive meanwhile.
+        Gathered = "gathered",
+    }
+
     /// When a job of which no task runs may interfere with serving tasks.
     StarvationPolicy {
         /// Whenever it has waited long enough.
@@ -139,6 +157,10 @@
 policy_set! {
     /// Whether serving tasks are moved together, so that other VMs have none.
     consolidation: ConsolidationPolicy = "consolidation",
+    /// In which order long-running jobs of equal rank are placed.
+    long_running_order: LongRunningOrder = "long-running-order",
+    /// When a long-running job that has arrived is placed.
+    long_running_start: LongRunningStart = "long-running-start",
     /// When a job of which no task runs may interfere with serving tasks.
     starvation: StarvationPolicy = "starvation",
 }
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -10,14 +10,17 @@
 use super::vm::VmAttempt;
 use crate::{
     AttemptKey, AttemptLocation, AttemptNumber, JobCode, JobPhase, JobRank, JobState,
-    PlacementFailures, PlacementRequest, StarvationPolicy, TaskName, TaskState, VmCapacity,
-    choose_vm, judge_urgency, rank_job,
+    LongRunningStart, PlacementFailures, PlacementRequest, StarvationPolicy, TaskName, TaskState,
+    VmCapacity, choose_vm, judge_urgency, rank_job,
 };
 
 /// A job of which nothing has run for this long may interfere with serving tasks. The users'
 /// limit for the start of work that has capacity is 3 s.
 const STARVATION_TIMEOUT: Duration = Duration::from_millis(2000);
 
+/// Time for which a long-running job that has arrived waits for others.
+const GATHERING_TIME: Duration = Duration::from_millis(100);
+
 /// State of one round of placement: the capacity left and the tasks that did not fit.
 struct PlacementRound {
     capacities: BTreeMap<String, VmCapacity>,
@@ -115,15 +118,30 @@
             .jobs
             .iter()
             .filter(|(_, job)| !job.phase.is_terminal() && has_waiting_tasks(job))
+            .filter(|(_, job)| !self.is_gathering(job, wall))
             .map(|(code, job)| {
                 let remaining = job.remaining(*code);
-                (rank_job(&job.spec, remaining, wall), *code)
+                let order = self.policies.long_running_order;
+                let rank = rank_job(&job.spec, remaining, wall).with_order(order, &job.spec);
+                (rank, *code)
             })
             .collect();
         ranked.sort();
         ranked.into_iter().map(|(_, code)| code).collect()
     }
 
+    /// Returns whether a long-running job waits for others that may arrive at the same time.
+    fn is_gathering(&self, job: &JobState, wall: WallTime) -> bool {
+        match self.policies.long_running_start {
+            LongRunningStart::AtOnce => false,
+            LongRunningStart::Gathered => {
+                job.phase == JobPhase::Queued
+                    && job.spec.is_long_running()
+                    && wall < job.spec.accepted_at.after(GATHERING_TIME)
+            }
+        }
+    }
+
     fn choose_vms(&self, code: JobCode, round: &mut PlacementRound) -> Vec<TaskPlacement> {
         let Some(job) = self.jobs.get(&code) else {
             return Vec::new();
