Place long-running jobs that arrive together, the widest first

Each was placed as it came, so that a job with one task a VM found the VMs of the others full and took VMs of its own. Policies long-running-order and long-running-start, both ways kept.

--- a/crates/turmeric-jobs/src/policy.rs
+++ b/crates/turmeric-jobs/src/policy.rs
@@ -129,18 +129,18 @@
     /// In which order long-running jobs of equal rank are placed.
     LongRunningOrder {
         /// The job with the least work first.
-        #[default]
         LeastWork = "least-work",
         /// The job that needs the most VMs first, because of a limit of tasks on each.
+        #[default]
         WidestFirst = "widest-first",
     }
 
     /// When a long-running job that has arrived is placed.
     LongRunningStart {
         /// At once.
-        #[default]
         AtOnce = "at-once",
         /// After a moment, together with others that arrive meanwhile.
+        #[default]
         Gathered = "gathered",
     }
 
