Let starved jobs interfere only below half use

The promise behind it binds only while under half of the service's capacity is in use. Change: the exception holds only while less than half of the processors of the service's VMs are reserved. Best-effort work counts as no use, so that the exception holds rather too long.

--- a/crates/turmeric-jobs/src/policy.rs
+++ b/crates/turmeric-jobs/src/policy.rs
@@ -147,9 +147,9 @@
     /// When a job of which no task runs may interfere with serving tasks.
     StarvationPolicy {
         /// Whenever it has waited long enough.
-        #[default]
         Always = "always",
         /// Only while less than half of the service's processors are reserved.
+        #[default]
         BelowHalfUse = "below-half-use",
     }
 }
