--- a/crates/turmeric-jobs/tests/policies.rs
+++ b/crates/turmeric-jobs/tests/policies.rs
@@ -147,6 +147,7 @@
     let start = MonoTime::from_millis(1000);
     let policies = PolicySet {
         starvation,
+        long_running_start: LongRunningStart::AtOnce,
         ..PolicySet::default()
     };
     let mut leader = JobScheduler::new(timeouts, 1, "e".to_owned(), String::new(), start)
