Play jobs with a limit of tasks on a VM in the model

Cause: the model of leader, agents and workers had no step with a limit, so that a move to a VM that has a task of the step could not be seen there. Change: an event for such a job, and the check that no VM has more tasks of a step than the limit. The test that all jobs finish keeps the events that it had: a full fleet may have no room for all tasks of a limited step.

--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -62,6 +62,15 @@
     ]
 }
 
+/// Events with jobs that allow few of their tasks on a VM; a full fleet may have no room for
+/// all tasks of these.
+fn event_with_limits() -> impl Strategy<Value = WorldEvent> {
+    prop_oneof![
+        4 => Just(WorldEvent::SubmitLimited),
+        49 => event(),
+    ]
+}
+
 /// Number of schedules within which a deliberate fault must be found.
 const FAULT_CASES: u32 = 600;
 
@@ -97,7 +106,9 @@
     #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
 
     #[test]
-    fn invariants_hold_in_every_schedule(events in proptest::collection::vec(event(), 5..40)) {
+    fn invariants_hold_in_every_schedule(
+        events in proptest::collection::vec(event_with_limits(), 5..40),
+    ) {
         let mut world = World::new();
         for event in &events {
             world.apply(event);
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -29,6 +29,9 @@
 /// Failed attempts after which a task fails in the simulation.
 const ATTEMPT_LIMIT: usize = 4;
 
+/// Most tasks of a long-running step on one VM.
+const VM_LIMIT: u32 = 2;
+
 /// Length of a simulated round, in milliseconds.
 const ROUND: u64 = 50;
 
@@ -36,6 +39,8 @@
 pub enum WorldEvent {
     /// A caller submits a job of two steps, or a long-running job.
     Submit { long_running: bool },
+    /// A caller submits a long-running job that allows two of its tasks on a VM.
+    SubmitLimited,
     /// The newest job is cancelled.
     Cancel,
     /// An entry takes over leadership, and the earlier leader stops.
@@ -204,6 +209,12 @@
                     .intake
                     .insert(code, spec(self.now, *long_running));
             }
+            WorldEvent::SubmitLimited => {
+                self.next_job += 1;
+                let mut spec = spec(self.now, true);
+                spec.steps[0].vm_limit = Some(VM_LIMIT);
+                self.store.intake.insert(JobCode::new(self.next_job), spec);
+            }
             WorldEvent::Cancel => {
                 if self.next_job > 0 {
                     self.store.cancelled.insert(JobCode::new(self.next_job));
@@ -479,6 +490,22 @@
                 prop_assert!(seen.insert(task), "{} runs in two places", task);
             }
             prop_assert!(!worker.is_overfilled(), "{} is overfilled", worker.name);
+            let mut counts: BTreeMap<TaskName, u32> = BTreeMap::new();
+            for task in worker.tasks() {
+                *counts.entry(task.first_of_step()).or_default() += 1;
+            }
+            for (first, count) in counts {
+                let is_limited = self
+                    .store
+                    .intake
+                    .get(&first.job)
+                    .is_some_and(|spec| spec.steps[first.step as usize].vm_limit.is_some());
+                prop_assert!(
+                    !is_limited || count <= VM_LIMIT,
+                    "{} has {count} tasks of the step of {first}",
+                    worker.name
+                );
+            }
         }
         prop_assert!(self.violations.is_empty(), "{:?}", self.violations);
         Ok(())
