--- a/crates/turmeric-jobs/src/scheduler/consolidate.rs
+++ b/crates/turmeric-jobs/src/scheduler/consolidate.rs
@@ -111,7 +111,7 @@
                 return None;
             }
             let request = PlacementRequest {
-                service: &job.spec.queue.service,
+                service: self.service(job),
                 step,
                 table: &self.headroom,
                 is_starved: false,
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -130,6 +130,13 @@
         ranked.into_iter().map(|(_, code)| code).collect()
     }
 
+    /// Returns the service whose endpoints run a job: the one that the operators route its
+    /// queue to now.
+    pub(super) fn service<'a>(&'a self, job: &'a JobState) -> &'a str {
+        let queue = self.queues.get(&job.spec.queue.route);
+        &queue.unwrap_or(&job.spec.queue).service
+    }
+
     /// Returns whether a long-running job waits for others that may arrive at the same time.
     fn is_gathering(&self, job: &JobState, wall: WallTime) -> bool {
         match self.policies.long_running_start {
@@ -146,12 +153,7 @@
         let Some(job) = self.jobs.get(&code) else {
             return Vec::new();
         };
-        let service = self
-            .queues
-            .get(&job.spec.queue.route)
-            .map_or(job.spec.queue.service.as_str(), |queue| {
-                queue.service.as_str()
-            });
+        let service = self.service(job);
         let mut chosen = Vec::new();
         for occurrence in 0..job.spec.occurrences() {
             if !is_due(job, occurrence, round.wall) {
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -122,7 +122,7 @@
             return false;
         }
         let request = PlacementRequest {
-            service: &job.spec.queue.service,
+            service: self.service(job),
             step,
             table: &self.headroom,
             is_starved: false,
--- a/crates/turmeric-jobs/tests/leaving.rs
+++ b/crates/turmeric-jobs/tests/leaving.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use turmeric_jobs::{
@@ -166,6 +167,26 @@
     assert_eq!(kept_jobs(&mut pair.leader, "a", now), [pair.finite]);
 }
 
+/// Operators have routed the queue to another service since the job was accepted. Its task
+/// would not be placed on a VM of the earlier service, so it is not evicted for one.
+#[test]
+fn nothing_is_evicted_for_a_vm_of_a_service_that_the_queue_has_left() {
+    let mut pair = RunningPair::new();
+    let (now, wall) = (pair.now, pair.wall);
+    let queue = QueuePolicy {
+        service: "t".to_owned(),
+        ..QueuePolicy::default()
+    };
+    let queues = BTreeMap::from([(queue.route.clone(), queue)]);
+    pair.leader.set_queues(queues);
+    let draining = report("a", true, 1200, pair.runs.clone());
+    pair.leader.handle_report(draining, now, wall);
+    let other = report("b", false, 1300, Vec::new());
+    pair.leader.handle_report(other, now, wall);
+    pair.leader.tick(now);
+    assert_eq!(kept_jobs(&mut pair.leader, "a", now).len(), 2);
+}
+
 /// A leader that cannot reach the store cannot restart an evicted task elsewhere.
 #[test]
 fn nothing_is_evicted_while_the_store_does_not_answer() {
