Show the policies of each process in explain

Cause: the first log line names the policies, but explain left it out, so that a late job could not be told from one under other policies. Change: the start lines of the processes that the job met are shown.

--- a/crates/turmeric-ctl/src/command/explain.rs
+++ b/crates/turmeric-ctl/src/command/explain.rs
@@ -29,6 +29,9 @@
     "entry is stopping after SIGTERM",
 ];
 
+/// First line of a process; it names the policies by which the process decides.
+const START_LINE: &str = "process is starting";
+
 /// Time before the job's first line from which on such lines are shown, in
 /// milliseconds: what a process last learned of its store may be as old.
 const LEAD_IN_MILLIS: u64 = 3000;
@@ -166,10 +169,16 @@
             .map(|line| line.process.clone())
             .chain(vms)
             .collect();
+        let is_near = |line: &LogLine| {
+            DEPENDENCY_LINES.contains(&line.what.as_str())
+                && (first.saturating_sub(LEAD_IN_MILLIS)..=last).contains(&line.millis)
+        };
+        let is_start = |line: &LogLine| {
+            line.what == START_LINE && !line.text("policies").is_empty() && line.millis <= last
+        };
         let around = lines
             .iter()
-            .filter(|line| DEPENDENCY_LINES.contains(&line.what.as_str()))
-            .filter(|line| (first.saturating_sub(LEAD_IN_MILLIS)..=last).contains(&line.millis))
+            .filter(|line| is_near(line) || is_start(line))
             .filter(|line| processes.contains(&line.process));
         Self {
             around: around.cloned().collect(),
--- a/crates/turmeric-ctl/tests/explain.rs
+++ b/crates/turmeric-ctl/tests/explain.rs
@@ -108,3 +108,26 @@
         "{text}"
     );
 }
+
+#[test]
+fn policies_by_which_a_process_decides_are_shown() {
+    let logs = [
+        line(
+            1,
+            "entry-1",
+            "process is starting",
+            "\"policies\":\"starvation always\"",
+        ),
+        line(
+            2,
+            "entry-2",
+            "process is starting",
+            "\"policies\":\"starvation below-half-use\"",
+        ),
+        job_line(10, "job sent", "\"outcome\":\"Stored\""),
+    ];
+    let output = explain(JOB, &logs.concat(), &[]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.contains("policies=starvation always"), "{text}");
+    assert!(!text.contains("below-half-use"), "{text}");
+}
