Search for VMs when one is cleared, also while tasks wait

Change: tasks that wait do not block clearing; a plan takes a choice back that leaves no VM for a later task, within 40 choices; 16 VMs at most are tried in a round, those from which nothing can move now are passed over.

--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -78,6 +78,8 @@
     /// Space reserved for long-running tasks that are being moved.
     moves: BTreeMap<TaskName, MoveReservation>,
     consolidation_due: MonoTime,
+    /// Number of VMs, by ascending serving work, that were tried since one was cleared.
+    consolidation_offset: usize,
     headroom: HeadroomTable,
     estimates: EstimateTable,
     headroom_saved_at: MonoTime,
@@ -121,6 +123,7 @@
             avoided: BTreeMap::new(),
             moves: BTreeMap::new(),
             consolidation_due: now,
+            consolidation_offset: 0,
             headroom: HeadroomTable::new(),
             estimates: EstimateTable::new(),
             headroom_saved_at: now,
--- a/crates/turmeric-jobs/src/scheduler/consolidate.rs
+++ b/crates/turmeric-jobs/src/scheduler/consolidate.rs
@@ -7,14 +7,14 @@
 //! So the VM with the least serving work is cleared when all of its serving tasks fit on VMs
 //! that have others. A moved task is away for about half a second.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use turmeric_types::MonoTime;
 
 use super::JobScheduler;
 use super::notes::EvictionCause;
-use super::vm::{VmAttempt, VmState};
+use super::vm::VmState;
 use crate::{
     AttemptKey, ConsolidationPolicy, PlacementRequest, StepSpec, TaskName, VmCapacity, choose_vm,
 };
@@ -29,6 +29,13 @@
 /// worker takes to stop a task, two reports of its agent and two writes to the store.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(3000);
 
+/// Most VMs for which a plan is sought in one round, so that the cost of a round does not
+/// grow with the square of the fleet.
+const SOURCE_LIMIT: usize = 16;
+
+/// Most choices of a VM in the search for one plan.
+const CHOICE_LIMIT: usize = 40;
+
 /// Progress that a worker lists for a long-running task while it is at work, in percent.
 const AT_WORK_PERCENT: u32 = 100;
 
@@ -41,8 +48,33 @@
     deadline: MonoTime,
 }
 
+/// A task of a VM that is to be cleared.
+struct MovableTask<'a> {
+    key: AttemptKey,
+    step: &'a StepSpec,
+    service: &'a str,
+}
+
+/// Other VMs for the tasks of a VM that is to be cleared.
+struct ClearingPlan<'a> {
+    /// Capacities before the plan.
+    capacities: &'a BTreeMap<String, VmCapacity>,
+    /// Capacities that the plan changes.
+    changed: BTreeMap<String, VmCapacity>,
+    moves: Vec<(AttemptKey, String)>,
+    /// Number of choices left until the search is given up.
+    choices: usize,
+}
+
+impl ClearingPlan<'_> {
+    fn current_capacities(&self) -> impl Iterator<Item = &VmCapacity> {
+        let capacities = self.capacities.iter();
+        capacities.map(|(name, capacity)| self.changed.get(name).unwrap_or(capacity))
+    }
+}
+
 impl JobScheduler {
-    /// Clears the VM with the least serving work if its tasks fit on other VMs with serving
+    /// Clears the VMs with the least serving work whose tasks fit on other VMs with serving
     /// tasks.
     pub(super) fn consolidate(&mut self, now: MonoTime) {
         self.moves
@@ -50,14 +82,13 @@
         if self.policies.consolidation == ConsolidationPolicy::None
             || now < self.consolidation_due
             || self.moves.len() >= MOVE_LIMIT
-            || self.has_waiting_long_running_tasks()
         {
             return;
         }
         self.consolidation_due = now.after(CONSOLIDATION_INTERVAL);
-        let mut capacities = self.open_capacities(now);
+        let mut capacities = self.capacities(now);
         let mut sources: Vec<(u64, String)> = capacities
-            .iter()
+            .values()
             .filter(|capacity| capacity.serving_tasks > 0 && !capacity.is_suspect)
             .map(|capacity| {
                 let reserved = capacity.serving_reserved.as_millicores();
@@ -65,9 +96,23 @@
             })
             .collect();
         sources.sort();
-        for (reserved, source) in sources {
-            if let Some(moves) = self.plan_clearing(&source, reserved, &mut capacities) {
-                self.begin_moves(&source, moves, now);
+        let offset = self.consolidation_offset;
+        let sources = sources.into_iter().map(|(_, source)| source);
+        let movable = sources.filter(|source| self.has_movable_task(source));
+        let chosen: Vec<String> = movable.skip(offset).take(SOURCE_LIMIT).collect();
+        self.consolidation_offset = if chosen.len() < SOURCE_LIMIT {
+            0
+        } else {
+            offset + SOURCE_LIMIT
+        };
+        for source in chosen {
+            let Some(plan) = self.plan_clearing(&source, &capacities) else {
+                continue;
+            };
+            let (changed, moves) = (plan.changed, plan.moves);
+            capacities.extend(changed);
+            if self.begin_moves(&source, moves, now) {
+                self.consolidation_offset = 0;
             }
             if self.moves.len() >= MOVE_LIMIT {
                 return;
@@ -75,70 +120,114 @@
         }
     }
 
-    /// Returns whether a long-running task waits that is not being moved.
-    fn has_waiting_long_running_tasks(&self) -> bool {
-        let jobs = self.jobs.values();
-        jobs.filter(|job| !job.phase.is_terminal() && job.spec.is_long_running())
-            .flat_map(|job| &job.tasks)
-            .any(|(name, state)| state.is_waiting() && !self.moves.contains_key(name))
+    /// Returns whether a serving task on a VM may be moved now.
+    fn has_movable_task(&self, vm: &str) -> bool {
+        self.vms.get(vm).is_some_and(|vm| {
+            let mut attempts = vm.attempts.iter();
+            attempts.any(|(key, attempt)| attempt.is_serving && self.is_step_complete(&key.task))
+        })
     }
 
     /// Chooses another VM for each serving task of a VM; returns [`None`] if one of them
-    /// fits nowhere or cannot be moved. `capacities` accounts for the moves of a plan.
-    ///
-    /// Tasks move only to VMs with at least as much serving work. Each move makes the work
-    /// of two VMs less equal, so moves come to an end.
-    fn plan_clearing(
+    /// cannot be moved or no VMs are found for all of them.
+    fn plan_clearing<'a>(
         &self,
         source: &str,
-        reserved: u64,
-        capacities: &mut Vec<VmCapacity>,
-    ) -> Option<Vec<(AttemptKey, String)>> {
+        capacities: &'a BTreeMap<String, VmCapacity>,
+    ) -> Option<ClearingPlan<'a>> {
         let vm = self.vms.get(source)?;
-        let mut planned = capacities.clone();
-        let mut moves: Vec<(AttemptKey, String)> = Vec::new();
-        let mut serving: Vec<(&AttemptKey, &VmAttempt, &StepSpec)> = Vec::new();
+        let mut tasks: Vec<MovableTask<'_>> = Vec::new();
         for (key, attempt) in &vm.attempts {
-            if attempt.is_serving && !attempt.is_evicted {
-                serving.push((key, attempt, self.step(&key.task)?));
+            if !attempt.is_serving || attempt.is_evicted {
+                continue;
             }
-        }
-        // Tasks that fit on fewer VMs choose first.
-        serving.sort_by_key(|(_, _, step)| step.vm_limit.unwrap_or(u32::MAX));
-        for (key, attempt, step) in serving {
             let job = self.jobs.get(&key.task.job)?;
+            let step = job.spec.steps.get(key.task.step as usize)?;
             if !step.is_long_running || step.is_gang || attempt.percent != AT_WORK_PERCENT {
                 return None;
             }
-            let request = PlacementRequest {
-                service: self.service(job),
+            tasks.push(MovableTask {
+                key: *key,
                 step,
-                table: &self.headroom,
-                is_starved: false,
-            };
-            let targets = planned.iter().filter(|capacity| {
-                capacity.vm != source
-                    && capacity.serving_reserved.as_millicores() >= reserved
+                service: self.service(job),
+            });
+        }
+        // Tasks that fit on fewer VMs choose first.
+        tasks.sort_by_key(|task| task.step.vm_limit.unwrap_or(u32::MAX));
+        let mut plan = ClearingPlan {
+            capacities,
+            changed: BTreeMap::new(),
+            moves: Vec::new(),
+            choices: CHOICE_LIMIT,
+        };
+        self.choose_targets(source, &tasks, &mut plan)
+            .then_some(plan)
+    }
+
+    /// Chooses VMs for `tasks`; takes a choice back if it leaves no VM for a later task.
+    ///
+    /// Returns whether it found VMs for all. Tasks move only to VMs with at least as much
+    /// serving work. Each move makes the work of two VMs less equal, so moves come to an end.
+    fn choose_targets(
+        &self,
+        source: &str,
+        tasks: &[MovableTask<'_>],
+        plan: &mut ClearingPlan<'_>,
+    ) -> bool {
+        let Some((task, others)) = tasks.split_first() else {
+            return true;
+        };
+        let request = PlacementRequest {
+            service: task.service,
+            step: task.step,
+            table: &self.headroom,
+            is_starved: false,
+        };
+        let first = task.key.task.first_of_step();
+        let mut excluded: BTreeSet<String> = BTreeSet::from([source.to_owned()]);
+        while plan.choices > 0 {
+            plan.choices -= 1;
+            let reserved = plan.capacities.get(source).map(|vm| vm.serving_reserved);
+            let targets = plan.current_capacities().filter(|capacity| {
+                Some(capacity.serving_reserved) >= reserved
+                    && !excluded.contains(&capacity.vm)
                     && !self.is_being_cleared(&capacity.vm)
             });
-            let first = key.task.first_of_step();
             let found = choose_vm(&request, targets, |target| {
-                let moved = moves
+                let moved = plan
+                    .moves
                     .iter()
                     .filter(|(other, vm)| other.task.first_of_step() == first && vm == target);
                 self.count_step(target, &first) + moved.count() as u32
-            })?;
-            let target = found.vm.clone();
-            let capacity = planned.iter_mut().find(|capacity| capacity.vm == target)?;
-            capacity.add(&key.task, step, &self.headroom);
-            moves.push((*key, target));
+            });
+            let Some(before) = found.cloned() else {
+                return false;
+            };
+            let target = before.vm.clone();
+            let mut after = before.clone();
+            after.add(&task.key.task, task.step, &self.headroom);
+            plan.changed.insert(target.clone(), after);
+            plan.moves.push((task.key, target.clone()));
+            if self.choose_targets(source, others, plan) {
+                return true;
+            }
+            plan.moves.pop();
+            plan.changed.insert(target.clone(), before);
+            excluded.insert(target);
         }
-        *capacities = planned;
-        Some(moves)
+        false
     }
 
     /// Evicts the tasks that may be moved now; the others follow in a later round.
-    fn begin_moves(&mut self, source: &str, moves: Vec<(AttemptKey, String)>, now: MonoTime) {
+    ///
+    /// Returns whether any task was evicted.
+    fn begin_moves(
+        &mut self,
+        source: &str,
+        moves: Vec<(AttemptKey, String)>,
+        now: MonoTime,
+    ) -> bool {
+        let mut has_begun = false;
         for (key, target) in moves {
             if self.moves.len() >= MOVE_LIMIT || !self.is_step_complete(&key.task) {
                 continue;
@@ -155,7 +244,9 @@
             self.moves.insert(key.task, reservation);
             self.record_eviction(source, key, EvictionCause::Consolidated);
             self.pending_updates.insert(source.to_owned());
+            has_begun = true;
         }
+        has_begun
     }
 
     /// Returns whether all tasks of a task's step are at work, so that one may be moved.
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -97,7 +97,7 @@
     }
 
     /// Returns the free capacity of each VM on which tasks may be placed.
-    pub(super) fn open_capacities(&self, now: MonoTime) -> Vec<VmCapacity> {
+    fn open_capacities(&self, now: MonoTime) -> Vec<VmCapacity> {
         self.capacities(now).into_values().collect()
     }
 
