Place a moved task only where its reserved space is left

Change: a reservation holds only while it fits the VM as last reported. Moves and their reservations have a file of their own.

--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -8,6 +8,7 @@
 mod consolidate;
 mod ends;
 mod load;
+mod moves;
 mod notes;
 mod orders;
 mod place;
@@ -24,7 +25,7 @@
     AttemptKey, EstimateTable, HeadroomTable, JobCode, JobPhase, JobSpec, JobState, LeaseLimits,
     PolicySet, QueuePolicy, TaskName,
 };
-use consolidate::MoveReservation;
+use moves::MoveReservation;
 use notes::EventList;
 use vm::{VmAttempt, VmState};
 
--- a/crates/turmeric-jobs/src/scheduler/consolidate.rs
+++ b/crates/turmeric-jobs/src/scheduler/consolidate.rs
@@ -13,22 +13,12 @@
 use turmeric_types::MonoTime;
 
 use super::JobScheduler;
-use super::notes::EvictionCause;
-use super::vm::VmState;
-use crate::{
-    AttemptKey, ConsolidationPolicy, PlacementRequest, StepSpec, TaskName, VmCapacity, choose_vm,
-};
+use super::moves::{AT_WORK_PERCENT, MOVE_LIMIT};
+use crate::{AttemptKey, ConsolidationPolicy, PlacementRequest, StepSpec, VmCapacity, choose_vm};
 
 /// Time between two attempts to clear a VM.
 const CONSOLIDATION_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Most tasks that are on their way to another VM at one time.
-const MOVE_LIMIT: usize = 8;
-
-/// The space reserved for a moved task is released after this time: the longest time that a
-/// worker takes to stop a task, two reports of its agent and two writes to the store.
-const MOVE_TIMEOUT: Duration = Duration::from_millis(3000);
-
 /// Most VMs for which a plan is sought in one round, so that the cost of a round does not
 /// grow with the square of the fleet.
 const SOURCE_LIMIT: usize = 16;
@@ -36,18 +26,6 @@
 /// Most choices of a VM in the search for one plan.
 const CHOICE_LIMIT: usize = 40;
 
-/// Progress that a worker lists for a long-running task while it is at work, in percent.
-const AT_WORK_PERCENT: u32 = 100;
-
-/// Space reserved for a task that is being moved.
-#[derive(Clone, Debug)]
-pub(super) struct MoveReservation {
-    /// The VM that the task is moved to.
-    pub(super) vm: String,
-    /// When the space is released if the task was not placed.
-    deadline: MonoTime,
-}
-
 /// A task of a VM that is to be cleared.
 struct MovableTask<'a> {
     key: AttemptKey,
@@ -77,8 +55,7 @@
     /// Clears the VMs with the least serving work whose tasks fit on other VMs with serving
     /// tasks.
     pub(super) fn consolidate(&mut self, now: MonoTime) {
-        self.moves
-            .retain(|_, reservation| now < reservation.deadline);
+        self.expire_reservations(now);
         if self.policies.consolidation == ConsolidationPolicy::None
             || now < self.consolidation_due
             || self.moves.len() >= MOVE_LIMIT
@@ -86,7 +63,7 @@
             return;
         }
         self.consolidation_due = now.after(CONSOLIDATION_INTERVAL);
-        let mut capacities = self.capacities(now);
+        let mut capacities = self.fleet_capacity(now).vms;
         let mut sources: Vec<(u64, String)> = capacities
             .values()
             .filter(|capacity| capacity.serving_tasks > 0 && !capacity.is_suspect)
@@ -218,102 +195,10 @@
         false
     }
 
-    /// Evicts the tasks that may be moved now; the others follow in a later round.
-    ///
-    /// Returns whether any task was evicted.
-    fn begin_moves(
-        &mut self,
-        source: &str,
-        moves: Vec<(AttemptKey, String)>,
-        now: MonoTime,
-    ) -> bool {
-        let mut has_begun = false;
-        for (key, target) in moves {
-            if self.moves.len() >= MOVE_LIMIT || !self.is_step_complete(&key.task) {
-                continue;
-            }
-            let vm = self.vms.get_mut(source);
-            let Some(attempt) = vm.and_then(|vm| vm.attempts.get_mut(&key)) else {
-                continue;
-            };
-            attempt.is_evicted = true;
-            let reservation = MoveReservation {
-                vm: target,
-                deadline: now.after(MOVE_TIMEOUT),
-            };
-            self.moves.insert(key.task, reservation);
-            self.record_eviction(source, key, EvictionCause::Consolidated);
-            self.pending_updates.insert(source.to_owned());
-            has_begun = true;
-        }
-        has_begun
-    }
-
-    /// Returns whether all tasks of a task's step are at work, so that one may be moved.
-    fn is_step_complete(&self, task: &TaskName) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return false;
-        };
-        let first = task.first_of_step();
-        let last = TaskName {
-            index: u32::MAX,
-            ..first
-        };
-        job.tasks.range(first..=last).all(|(name, state)| {
-            let Some(location) = &state.location else {
-                return false;
-            };
-            let key = AttemptKey {
-                task: *name,
-                attempt: state.attempt,
-            };
-            let attempt = self
-                .vms
-                .get(&location.vm)
-                .filter(|vm| vm.is_ready)
-                .and_then(|vm| vm.attempts.get(&key));
-            attempt.is_some_and(|attempt| !attempt.is_evicted && attempt.percent == AT_WORK_PERCENT)
-        })
-    }
-
     fn is_being_cleared(&self, vm: &str) -> bool {
         self.vms.get(vm).is_some_and(|vm| {
             let mut serving = vm.attempts.values().filter(|attempt| attempt.is_serving);
             serving.any(|attempt| attempt.is_evicted)
         })
     }
-
-    /// Returns how many tasks of a step are on a VM or being moved to it.
-    pub(super) fn count_step(&self, vm: &str, first: &TaskName) -> u32 {
-        let placed = self.vms.get(vm).map_or(0, |vm| vm.count_step(first));
-        let moved = self
-            .moves
-            .iter()
-            .filter(|(task, reservation)| task.first_of_step() == *first && reservation.vm == vm);
-        placed + moved.count() as u32
-    }
-
-    /// Returns the capacity of the VMs in service, less the space reserved for moves.
-    pub(super) fn capacities(&self, now: MonoTime) -> BTreeMap<String, VmCapacity> {
-        let open = |vm: &VmState| !self.closed_zones.contains(&vm.zone);
-        let vms = self.vms.iter().filter(|(_, vm)| open(vm));
-        let mut capacities: BTreeMap<String, VmCapacity> = vms
-            .filter_map(|(name, vm)| {
-                Some((name.clone(), vm.free_capacity(name, &self.headroom, now)?))
-            })
-            .collect();
-        for (task, reservation) in &self.moves {
-            if let (Some(capacity), Some(step)) =
-                (capacities.get_mut(&reservation.vm), self.step(task))
-            {
-                capacity.add(task, step, &self.headroom);
-            }
-        }
-        capacities
-    }
-
-    fn step(&self, task: &TaskName) -> Option<&StepSpec> {
-        let job = self.jobs.get(&task.job)?;
-        job.spec.steps.get(task.step as usize)
-    }
 }
--- /dev/null
+++ b/crates/turmeric-jobs/src/scheduler/moves.rs
@@ -0,0 +1,144 @@
+//! Moves of long-running tasks to other VMs, with the space that is reserved for them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use turmeric_types::MonoTime;
+
+use super::JobScheduler;
+use super::notes::EvictionCause;
+use super::vm::VmState;
+use crate::{AttemptKey, StepSpec, TaskName, VmCapacity};
+
+/// Most tasks that are on their way to another VM at one time.
+pub(super) const MOVE_LIMIT: usize = 8;
+
+/// The space reserved for a moved task is released after this time: the longest time that a
+/// worker takes to stop a task, two reports of its agent and two writes to the store.
+const MOVE_TIMEOUT: Duration = Duration::from_millis(3000);
+
+/// Progress that a worker lists for a long-running task while it is at work, in percent.
+pub(super) const AT_WORK_PERCENT: u32 = 100;
+
+/// Space reserved for a task that is being moved.
+#[derive(Clone, Debug)]
+pub(super) struct MoveReservation {
+    /// The VM that the task is moved to.
+    pub(super) vm: String,
+    /// When the space is released if the task was not placed.
+    deadline: MonoTime,
+}
+
+/// Capacity of all VMs on which tasks may be placed.
+pub(super) struct FleetCapacity {
+    /// Capacity of each VM, less the space reserved on it.
+    pub(super) vms: BTreeMap<String, VmCapacity>,
+    /// The VM on which space is reserved for each task that is being moved.
+    pub(super) reserved: BTreeMap<TaskName, String>,
+}
+
+impl JobScheduler {
+    /// Releases the space reserved for tasks that were not placed in time.
+    pub(super) fn expire_reservations(&mut self, now: MonoTime) {
+        self.moves
+            .retain(|_, reservation| now < reservation.deadline);
+    }
+
+    /// Evicts the tasks that may be moved now; the others follow in a later round.
+    ///
+    /// Returns whether any task was evicted.
+    pub(super) fn begin_moves(
+        &mut self,
+        source: &str,
+        moves: Vec<(AttemptKey, String)>,
+        now: MonoTime,
+    ) -> bool {
+        let mut has_begun = false;
+        for (key, target) in moves {
+            if self.moves.len() >= MOVE_LIMIT || !self.is_step_complete(&key.task) {
+                continue;
+            }
+            let vm = self.vms.get_mut(source);
+            let Some(attempt) = vm.and_then(|vm| vm.attempts.get_mut(&key)) else {
+                continue;
+            };
+            attempt.is_evicted = true;
+            let reservation = MoveReservation {
+                vm: target,
+                deadline: now.after(MOVE_TIMEOUT),
+            };
+            self.moves.insert(key.task, reservation);
+            self.record_eviction(source, key, EvictionCause::Consolidated);
+            self.pending_updates.insert(source.to_owned());
+            has_begun = true;
+        }
+        has_begun
+    }
+
+    /// Returns whether all tasks of a task's step are at work, so that one may be moved.
+    pub(super) fn is_step_complete(&self, task: &TaskName) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let first = task.first_of_step();
+        let last = TaskName {
+            index: u32::MAX,
+            ..first
+        };
+        job.tasks.range(first..=last).all(|(name, state)| {
+            let Some(location) = &state.location else {
+                return false;
+            };
+            let key = AttemptKey {
+                task: *name,
+                attempt: state.attempt,
+            };
+            let attempt = self
+                .vms
+                .get(&location.vm)
+                .filter(|vm| vm.is_ready)
+                .and_then(|vm| vm.attempts.get(&key));
+            attempt.is_some_and(|attempt| !attempt.is_evicted && attempt.percent == AT_WORK_PERCENT)
+        })
+    }
+
+    /// Returns how many tasks of a step are on a VM or being moved to it.
+    pub(super) fn count_step(&self, vm: &str, first: &TaskName) -> u32 {
+        let placed = self.vms.get(vm).map_or(0, |vm| vm.count_step(first));
+        let moved = self
+            .moves
+            .iter()
+            .filter(|(task, reservation)| task.first_of_step() == *first && reservation.vm == vm);
+        placed + moved.count() as u32
+    }
+
+    /// Returns the capacity of the VMs in service, less the space reserved for moves.
+    pub(super) fn fleet_capacity(&self, now: MonoTime) -> FleetCapacity {
+        let open = |vm: &VmState| !self.closed_zones.contains(&vm.zone);
+        let vms = self.vms.iter().filter(|(_, vm)| open(vm));
+        let vms = vms.filter_map(|(name, vm)| {
+            Some((name.clone(), vm.free_capacity(name, &self.headroom, now)?))
+        });
+        let mut capacity = FleetCapacity {
+            vms: vms.collect(),
+            reserved: BTreeMap::new(),
+        };
+        for (task, reservation) in &self.moves {
+            let (Some(vm), Some(step)) = (capacity.vms.get_mut(&reservation.vm), self.step(task))
+            else {
+                continue;
+            };
+            // The VM may have come back smaller since the space was reserved.
+            if step.reserved().fits_in(&vm.free) {
+                vm.add(task, step, &self.headroom);
+                capacity.reserved.insert(*task, reservation.vm.clone());
+            }
+        }
+        capacity
+    }
+
+    fn step(&self, task: &TaskName) -> Option<&StepSpec> {
+        let job = self.jobs.get(&task.job)?;
+        job.spec.steps.get(task.step as usize)
+    }
+}
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -6,6 +6,7 @@
 use turmeric_types::{MonoTime, WallTime};
 
 use super::JobScheduler;
+use super::moves::FleetCapacity;
 use super::notes::JobEvent;
 use super::vm::VmAttempt;
 use crate::{
@@ -24,6 +25,8 @@
 /// State of one round of placement: the capacity left and the tasks that did not fit.
 struct PlacementRound {
     capacities: BTreeMap<String, VmCapacity>,
+    /// The VM on which space is reserved for each task that is being moved.
+    reserved: BTreeMap<TaskName, String>,
     failures: PlacementFailures,
     usage: ServiceUsage,
     now: MonoTime,
@@ -71,7 +74,10 @@
         if self.is_releasing {
             return 0;
         }
-        let capacities = self.capacities(now);
+        let FleetCapacity {
+            vms: capacities,
+            reserved,
+        } = self.fleet_capacity(now);
         if capacities.is_empty() {
             return 0;
         }
@@ -79,6 +85,7 @@
         let mut round = PlacementRound {
             usage: ServiceUsage::new(capacities.values()),
             capacities,
+            reserved,
             failures: PlacementFailures::new(),
             now,
             wall,
@@ -215,7 +222,7 @@
         };
         let is_starved =
             may_interfere && is_idle && round.wall > job.spec.accepted_at.after(STARVATION_TIMEOUT);
-        let has_reservation = waiting.iter().any(|task| self.moves.contains_key(task));
+        let has_reservation = waiting.iter().any(|task| round.reserved.contains_key(task));
         if !is_starved && !has_reservation && round.failures.covers(service, step) {
             return Vec::new();
         }
@@ -228,7 +235,7 @@
                 .tasks
                 .get(&task)
                 .map_or(AttemptNumber::default(), |state| state.attempt);
-            if let Some(vm) = self.reserved_vm(&task, round) {
+            if let Some(vm) = round.reserved.get(&task).cloned() {
                 chosen.push(TaskPlacement {
                     task,
                     attempt: attempt.next(),
@@ -292,12 +299,6 @@
         chosen
     }
 
-    /// Returns the VM on which space is reserved for a task that is being moved.
-    fn reserved_vm(&self, task: &TaskName, round: &PlacementRound) -> Option<String> {
-        let vm = &self.moves.get(task)?.vm;
-        round.capacities.contains_key(vm).then(|| vm.clone())
-    }
-
     /// Assigns the tasks to the chosen VMs; the next commit records it in the store.
     fn assign(&mut self, code: JobCode, chosen: Vec<TaskPlacement>, now: MonoTime) {
         if chosen.is_empty() {
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -98,7 +98,7 @@
 
     /// Returns the free capacity of each VM on which tasks may be placed.
     fn open_capacities(&self, now: MonoTime) -> Vec<VmCapacity> {
-        self.capacities(now).into_values().collect()
+        self.fleet_capacity(now).vms.into_values().collect()
     }
 
     /// Marks an attempt as evicted if another VM has free capacity for its task.
--- a/crates/turmeric-jobs/tests/consolidation.rs
+++ b/crates/turmeric-jobs/tests/consolidation.rs
@@ -34,6 +34,8 @@
 struct ModelVm {
     name: String,
     capacity: ResourceSet,
+    /// Time that a task takes to stop.
+    stop_millis: u64,
     /// Attempts that run, with their start.
     running: BTreeMap<AttemptKey, u64>,
     /// Attempts that are stopping, with the end of their stop.
@@ -74,6 +76,7 @@
         let vms = (0..count).map(|number| ModelVm {
             name: format!("vm-{number:02}"),
             capacity: resources(if number % 3 == 2 { 48_000 } else { 32_000 }),
+            stop_millis: STOP_MILLIS,
             running: BTreeMap::new(),
             stopping: BTreeMap::new(),
             ends: Vec::new(),
@@ -315,7 +318,7 @@
                 self.running.insert(key, started_at);
             } else {
                 stops += 1;
-                self.stopping.insert(key, now + STOP_MILLIS);
+                self.stopping.insert(key, now + self.stop_millis);
             }
         }
         for start in &orders.starts {
@@ -434,3 +437,29 @@
     assert_eq!(fleet.stops, 0);
     assert_eq!(fleet.vms_without_serving_tasks(), 0);
 }
+
+/// A VM has fewer processors than when space on it was reserved for a task on its way.
+#[test]
+fn a_task_is_not_placed_on_a_vm_that_has_shrunk_meanwhile() {
+    let mut fleet = ModelFleet::new(2, scattering(ConsolidationPolicy::ClearVms));
+    fleet.run(800);
+    fleet.submit(4, 1, None);
+    fleet.submit(1, 1, None);
+    fleet.run(2_000);
+    fleet.submit(1, 2, None);
+    fleet.run(2_000);
+    assert_eq!(fleet.vms[0].running.len(), 5);
+    assert_eq!(fleet.vms[1].running.len(), 1);
+
+    // The leader hears of the smaller VM before the end of the task on its way.
+    fleet.vms[1].stop_millis = 2 * REPORT_MILLIS;
+    fleet.cancel(JobCode::new(2));
+    while fleet.stops < 2 {
+        fleet.run(20);
+    }
+    fleet.vms[0].capacity = resources(30_000);
+    fleet.run(5_000);
+    // `check` has compared the tasks of each VM with its capacity in each round.
+    assert_eq!(fleet.vms[0].running.len(), 4);
+    assert_eq!(fleet.vms[1].running.len(), 1);
+}
