Split the leader's loop: its writes and its timings have files of their own

The load line also tells the time of ticks, which hold the evictions and moves. Behaviour as before.

--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -10,20 +10,17 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use turmeric_jobs::{CommitPlan, JobScheduler, VmReport};
-use turmeric_platform::{RowPut, StoreClient, TxAnswer, TxRequest};
 use turmeric_schema::{Message, v1};
 use turmeric_types::{CoreCount, MonoTime};
 
-use super::callers::CallerState;
 use super::decision_log::DecisionLog;
 use super::intake::{
-    IntakeRow, PROGRESS_TABLE, decode_intake_row, follow_intake, job_rows, progress_row,
-    read_intake_table,
-};
-use super::leadership::{
-    AgentLink, CALL_TIMEOUT, LeaderContext, headroom_ref, leader_ref, read_leader,
+    IntakeRow, PROGRESS_TABLE, decode_intake_row, follow_intake, read_intake_table,
 };
+use super::leader_commit::{CommitOutcome, commit};
+use super::leadership::{AgentLink, CALL_TIMEOUT, LeaderContext, headroom_ref};
 use super::link::LinkWriter;
+use super::loop_timings::LoopTimings;
 use super::view::LeaderView;
 
 /// Period of the timer for work that no event triggers.
@@ -86,43 +83,6 @@
     order_sender: mpsc::Sender<v1::VmOrders>,
 }
 
-/// Time that the event loop spent on each kind of work since the last log line about load.
-#[derive(Debug, Default)]
-struct LoopTimings {
-    reports: TimingTotal,
-    orders: TimingTotal,
-    placements: TimingTotal,
-    writes: TimingTotal,
-}
-
-/// Number of calls and their total time.
-#[derive(Debug, Default)]
-struct TimingTotal {
-    count: u32,
-    elapsed: Duration,
-}
-
-impl TimingTotal {
-    fn add(&mut self, elapsed: Duration) {
-        self.count += 1;
-        self.elapsed += elapsed;
-    }
-
-    fn describe(&self) -> String {
-        format!(
-            "{} in {:.1} ms",
-            self.count,
-            self.elapsed.as_secs_f64() * 1e3
-        )
-    }
-}
-
-/// Outcome of a write of the leader.
-enum CommitOutcome {
-    Done { plan: Box<CommitPlan>, version: u64 },
-    Lost { reason: String },
-}
-
 /// Leads until another entry takes over or the process shuts down.
 pub(crate) async fn run_leader(
     context: &LeaderContext,
@@ -365,6 +325,8 @@
     fn tick(&mut self) {
         let now = self.context.clock.now();
         self.scheduler.tick(now);
+        let elapsed = self.context.clock.now().since(now);
+        self.timings.ticks.add(elapsed);
         if self.context.callers.is_stopping.load(Ordering::Relaxed) {
             self.scheduler.release();
         }
@@ -378,7 +340,7 @@
             info!("load", kv: {
                 queues = load, reports = timings.reports.describe(),
                 orders = timings.orders.describe(), placements = timings.placements.describe(),
-                writes = timings.writes.describe()
+                writes = timings.writes.describe(), ticks = timings.ticks.describe()
             });
             let missing = self.scheduler.describe_unplaced(LOGGED_TASK_LIMIT);
             if !missing.is_empty() {
@@ -518,83 +480,3 @@
 async fn send_message(writer: &mut LinkWriter, orders: &v1::VmOrders) -> eyre::Result<()> {
     writer.send(orders).await
 }
-
-/// Writes a plan to the store, with retries until the outcome is known.
-async fn commit(
-    store: StoreClient,
-    callers: &CallerState,
-    epoch: u64,
-    version: u64,
-    plan: CommitPlan,
-) -> CommitOutcome {
-    let mut request = write_plan(&plan);
-    let mut version = version;
-    loop {
-        request.expect = vec![(leader_ref(), version)];
-        let answer = store.transact(&request, CALL_TIMEOUT).await;
-        let is_answered = matches!(answer, TxAnswer::Done { .. } | TxAnswer::Conflict { .. });
-        callers.record_store_call(is_answered);
-        match answer {
-            TxAnswer::Done { version } => {
-                return CommitOutcome::Done {
-                    plan: Box::new(plan),
-                    version,
-                };
-            }
-            TxAnswer::Conflict { rows } => {
-                let key = leader_ref().key;
-                let Some(row) = rows.iter().find(|row| row.key == key) else {
-                    return CommitOutcome::Lost {
-                        reason: "the leader's row no longer exists".to_owned(),
-                    };
-                };
-                let leader = read_leader(row);
-                if leader.epoch != epoch {
-                    return CommitOutcome::Lost {
-                        reason: format!(
-                            "another entry leads in epoch {}: {}",
-                            leader.epoch, leader.holder
-                        ),
-                    };
-                }
-                if leader.sequence >= plan.sequence {
-                    // An earlier attempt took effect, but its answer was lost.
-                    return CommitOutcome::Done {
-                        plan: Box::new(plan),
-                        version: row.version,
-                    };
-                }
-                version = row.version;
-            }
-            TxAnswer::NotDone { reason } | TxAnswer::Unknown { reason } => {
-                warn!("write not confirmed", kv: { sequence = plan.sequence, reason = reason });
-                tokio::time::sleep(RETRY_INTERVAL).await;
-            }
-        }
-    }
-}
-
-/// Builds the transaction that writes a plan, without its expected versions.
-fn write_plan(plan: &CommitPlan) -> TxRequest {
-    let mut puts = vec![RowPut {
-        row: leader_ref(),
-        value: plan.leader_row.clone(),
-    }];
-    puts.extend(plan.progress.iter().map(|(code, value)| RowPut {
-        row: progress_row(*code),
-        value: value.clone(),
-    }));
-    puts.extend(plan.headroom.iter().map(|value| RowPut {
-        row: headroom_ref(),
-        value: value.clone(),
-    }));
-    TxRequest {
-        expect: Vec::new(),
-        puts,
-        removes: plan
-            .forgotten
-            .iter()
-            .flat_map(|code| job_rows(*code))
-            .collect(),
-    }
-}
