Reword stand-ins, the testbed and parts of the command-line tool

Named constants where a reader met a bare number, attempts and deadlines in place of turns and limits, and doc comments that say what a value is for. Behaviour as before.

--- a/crates/turmeric-ctl/src/command/homes.rs
+++ b/crates/turmeric-ctl/src/command/homes.rs
@@ -14,6 +14,9 @@
 /// Longest wait for agents to announce themselves.
 const AGENT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Pause between two requests for the list of agents.
+const AGENT_POLL_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Most homes that are taken from the agents known.
 const HOME_LIMIT: usize = 64;
 
@@ -99,7 +102,7 @@
 
 /// Waits for agents and returns their addresses in order.
 async fn agent_addresses(context: &CommandContext) -> Result<String, CommandError> {
-    let limit = Instant::now() + AGENT_TIMEOUT;
+    let deadline = Instant::now() + AGENT_TIMEOUT;
     loop {
         let agents = context.client.get("/v1/agents").await?;
         let mut addresses: Vec<String> = agents
@@ -114,11 +117,11 @@
         if !addresses.is_empty() {
             return Ok(addresses.join(","));
         }
-        if Instant::now() >= limit {
+        if Instant::now() >= deadline {
             return Err(CommandError::TimedOut {
                 message: "no agent has announced itself".to_owned(),
             });
         }
-        tokio::time::sleep(Duration::from_millis(200)).await;
+        tokio::time::sleep(AGENT_POLL_INTERVAL).await;
     }
 }
--- a/crates/turmeric-ctl/src/command/jobs.rs
+++ b/crates/turmeric-ctl/src/command/jobs.rs
@@ -6,8 +6,9 @@
 use super::{CommandContext, positional, text};
 use crate::error::CommandError;
 
-/// Tries of one submission whose outcome was lost, under one identifier.
-const SUBMIT_TRIES: u32 = 5;
+/// Most attempts at one submission while no entry answers; all have the same identifier, so
+/// the job is accepted at most once.
+const SUBMIT_ATTEMPT_LIMIT: u32 = 5;
 
 pub(crate) fn build() -> Command {
     let flag = |name: &'static str, default: &'static str, help: &'static str| {
@@ -61,9 +62,8 @@
         findings.collect(place, text(matches, name).parse::<u64>())
     };
     let (accelerators, work, count) = (number("accelerators"), number("work"), number("count"));
-    let numbers = || Some((accelerators?, work?, count?));
-    let numbers = numbers();
-    let (accelerators, work, count) = findings
+    let numbers = accelerators.zip(work).zip(count);
+    let ((accelerators, work), count) = findings
         .into_result(numbers)
         .map_err(CommandError::Arguments)?;
     let job = matches
@@ -81,10 +81,12 @@
         "work_millis": work,
         "count": count,
     });
-    let mut turn = 1;
+    let mut attempts = 1;
     loop {
         match context.client.post("/v1/jobs", &form).await {
-            Err(CommandError::Unreachable { .. }) if turn < SUBMIT_TRIES => turn += 1,
+            Err(CommandError::Unreachable { .. }) if attempts < SUBMIT_ATTEMPT_LIMIT => {
+                attempts += 1;
+            }
             Err(error) => return Err(error),
             Ok(answer) => {
                 context.form.print_fields(&answer);
--- a/crates/turmeric-ctl/src/command/zone.rs
+++ b/crates/turmeric-ctl/src/command/zone.rs
@@ -9,7 +9,7 @@
 use crate::error::CommandError;
 
 pub(crate) fn build() -> Command {
-    let side = |name: &'static str, about: &'static str| {
+    let direction = |name: &'static str, about: &'static str| {
         Command::new(name)
             .about(about)
             .arg(positional("region", "Region of the availability zone"))
@@ -20,38 +20,35 @@
         .about("Take an availability zone out of service and back")
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(side(
+        .subcommand(direction(
             "out",
             "Start nothing there any more, and move tasks away",
         ))
-        .subcommand(side("in", "Let the availability zone take work again"))
+        .subcommand(direction("in", "Let the availability zone take work again"))
 }
 
 pub(crate) async fn run(
     context: &CommandContext,
     matches: &ArgMatches,
 ) -> Result<(), CommandError> {
-    let Some((side, matches)) = matches.subcommand() else {
+    let Some((direction, matches)) = matches.subcommand() else {
         return Ok(());
     };
     let mut findings = FindingList::new();
     let region = findings.collect("REGION", text(matches, "region").parse::<ZoneName>());
     let zone = findings.collect("ZONE", text(matches, "zone").parse::<ZoneName>());
-    let place = || {
-        Some(
-            SettingsPath::root()
-                .child(region?.as_str())
-                .child(zone?.as_str()),
-        )
-    };
-    let place = place();
+    let path = region.zip(zone).map(|(region, zone)| {
+        SettingsPath::root()
+            .child(region.as_str())
+            .child(zone.as_str())
+    });
     let path = findings
-        .into_result(place)
+        .into_result(path)
         .map_err(CommandError::Arguments)?;
     let edit = ChangeEdit {
         path,
         name: SettingName::InService,
-        value: Some((side == "in").to_string()),
+        value: Some((direction == "in").to_string()),
     };
     let version = make_change(context, &text(matches, "author"), vec![edit], None).await?;
     print_accepted(context, version);
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -430,12 +430,14 @@
         }
     }
 
-    /// Returns the mark for lists that are requested now; see [`Self::apply_lists`].
+    /// Returns the number of changes so far, which marks the state that a request for the
+    /// worker's lists is sent in; pass it to [`Self::apply_lists`] with the answer.
     pub fn list_mark(&self) -> u64 {
         self.changes
     }
 
-    /// Applies lists of the current incarnation that were requested at `mark`.
+    /// Applies lists of the current incarnation that were requested when [`Self::list_mark`]
+    /// returned `mark`.
     ///
     /// Returns whether something changed that must be reported to the leader.
     pub fn apply_lists(&mut self, mark: u64, lists: WorkerLists) -> bool {
--- a/crates/turmeric-jobs/src/order.rs
+++ b/crates/turmeric-jobs/src/order.rs
@@ -53,7 +53,7 @@
     FullUse,
     /// Reduced use, because the result is late.
     Partial,
-    /// No use any longer.
+    /// No use: the result would come after the caller has stopped waiting for it.
     NoUse,
 }
 
--- a/crates/turmeric-learning/src/meter.rs
+++ b/crates/turmeric-learning/src/meter.rs
@@ -32,7 +32,8 @@
 /// Certainty from which the interference of a kind is reported.
 const CERTAINTY_FLOOR: f64 = 0.75;
 
-/// Most by which an average counts above its predicted value, as a share of it.
+/// Largest excess of an average over its predicted value that is used, as a share of the
+/// prediction.
 ///
 /// A larger excess indicates a stall of the service, not an effect of tasks.
 const DEVIATION_LIMIT: f64 = 2.0;
--- a/crates/turmeric-standin/src/client.rs
+++ b/crates/turmeric-standin/src/client.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+/// Timeout of one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A client of other stand-ins and of the agent.
--- a/crates/turmeric-standin/src/endpoint.rs
+++ b/crates/turmeric-standin/src/endpoint.rs
@@ -22,10 +22,12 @@
 use crate::fault::{FaultPlan, FaultSwitch};
 use crate::flags::value;
 
+/// Time between two announcements to the agent.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two reads of the worker's load.
 const NOISE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Times each key ran; requests without a key are only counted.
+/// Number of requests that ran for each key; requests without a key are only counted.
 #[derive(Clone, Default, Serialize)]
 struct EndpointRecord {
     runs: BTreeMap<String, u64>,
@@ -79,12 +81,15 @@
     Ok(())
 }
 
-/// Announces the shutdown for a while, then lets requests in progress finish.
+/// Time for which the endpoint announces its shutdown before it accepts no more requests.
+const DRAIN_DURATION: Duration = Duration::from_secs(3);
+
+/// Waits for SIGTERM and announces the shutdown for [`DRAIN_DURATION`].
 async fn drain_on_signal(endpoint: Endpoint) {
     let mut terminate = signal(SignalKind::terminate()).expect("SIGTERM can be handled");
     terminate.recv().await;
     endpoint.is_draining.store(true, Ordering::SeqCst);
-    tokio::time::sleep(Duration::from_secs(3)).await;
+    tokio::time::sleep(DRAIN_DURATION).await;
 }
 
 async fn watch_noise(endpoint: Endpoint, client: JsonClient, worker: SocketAddr) {
@@ -142,14 +147,14 @@
         .map_err(|error| (StatusCode::SERVICE_UNAVAILABLE, error.to_string()))?;
     endpoint.fault.before().await?;
     let key = header_text(&headers, "idempotency-key");
-    note_run(&endpoint, key);
+    record_run(&endpoint, key);
     tokio::time::sleep(service_time(&endpoint)).await;
     endpoint.fault.after_write().await;
     let tag = header_text(&headers, "turmeric-test-tag");
     Ok(format!("{tag} {} {digest:08x}", body.len()))
 }
 
-/// A busy VM slows the service: twice the time at full batch load.
+/// Returns the time that a request takes; it doubles at full batch load of the VM.
 fn service_time(endpoint: &EndpointState) -> Duration {
     let noise = endpoint.noise_percent.load(Ordering::Relaxed) as u32;
     endpoint.service_time * (100 + noise) / 100
@@ -162,7 +167,7 @@
         .unwrap_or("-")
 }
 
-fn note_run(endpoint: &EndpointState, key: &str) {
+fn record_run(endpoint: &EndpointState, key: &str) {
     let mut record = endpoint
         .record
         .lock()
--- a/crates/turmeric-standin/src/fault.rs
+++ b/crates/turmeric-standin/src/fault.rs
@@ -57,7 +57,7 @@
         Ok(())
     }
 
-    /// Never returns when the answer of an applied write is to be lost.
+    /// Returns after an applied write, unless its answer is to be lost; then it never returns.
     pub(crate) async fn after_write(&self) {
         let is_lost = {
             let mut plan = self.plan.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/turmeric-testbed/src/bed.rs
+++ b/crates/turmeric-testbed/src/bed.rs
@@ -20,10 +20,11 @@
 /// Number of lines of each log that a failed test prints.
 const SHOWN_LINES: usize = 80;
 
-/// Pause between two looks.
-const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Interval at which a condition is polled.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time in which a home grants no key, since an earlier life may have.
+/// Time after its start in which a home agent grants no key, because its earlier incarnation
+/// may have granted it.
 const HOME_PAUSE: Duration = Duration::from_millis(2200);
 
 /// Addresses of one agent and what is beside it.
@@ -522,7 +523,7 @@
                 "waited {limit:?} for {text}\n{}",
                 self.log_ends()
             );
-            tokio::time::sleep(LOOK_PAUSE).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
--- a/crates/turmeric-testbed/src/process.rs
+++ b/crates/turmeric-testbed/src/process.rs
@@ -5,8 +5,8 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
-/// Pause between looks at a process that should end.
-const LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// Interval at which the end of a process is polled.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Returns a program of this workspace, built in the profile of the test.
 fn program(name: &str) -> PathBuf {
@@ -110,7 +110,7 @@
             if Instant::now() >= end {
                 return None;
             }
-            std::thread::sleep(LOOK_PAUSE);
+            std::thread::sleep(POLL_INTERVAL);
         }
     }
 }
