Move no task to a suspected VM, and clear no VM that tasks move to

Cause: reading the diff; a plan could take a VM on which tasks of several jobs have failed as its last choice, and a VM could be cleared while another's tasks are on their way to it, so that they would move twice. Change: both are left out.

--- a/crates/turmeric-jobs/src/order.rs
+++ b/crates/turmeric-jobs/src/order.rs
@@ -53,7 +53,7 @@
     FullUse,
     /// Reduced use, because the result is late.
     Partial,
-    /// No use: the result would come after the caller has stopped waiting for it.
+    /// No use, because the result is too late even for that.
     NoUse,
 }
 
--- a/crates/turmeric-jobs/src/policy.rs
+++ b/crates/turmeric-jobs/src/policy.rs
@@ -126,6 +126,7 @@
         #[default]
         ClearVms = "clear-vms",
     }
+
     /// In which order long-running jobs of equal rank are placed.
     LongRunningOrder {
         /// The job with the least work first.
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -79,7 +79,8 @@
     /// Space reserved for long-running tasks that are being moved.
     moves: BTreeMap<TaskName, MoveReservation>,
     consolidation_due: MonoTime,
-    /// Number of VMs, by ascending serving work, that were tried since one was cleared.
+    /// Number of VMs, by ascending serving work, that the next round of consolidation passes
+    /// over because the rounds before found no plan for them.
     consolidation_offset: usize,
     headroom: HeadroomTable,
     estimates: EstimateTable,
--- a/crates/turmeric-jobs/src/scheduler/consolidate.rs
+++ b/crates/turmeric-jobs/src/scheduler/consolidate.rs
@@ -5,7 +5,7 @@
 //! serving tasks of several images and a part of its processors is free. Best-effort work
 //! then finds idle processors, but hardly a VM where it interferes with none of the images.
 //! So the VM with the least serving work is cleared when all of its serving tasks fit on VMs
-//! that have others. A moved task is away for about half a second.
+//! that have others. A moved task is away for about 0.7 s.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -75,7 +75,8 @@
         sources.sort();
         let offset = self.consolidation_offset;
         let sources = sources.into_iter().map(|(_, source)| source);
-        let movable = sources.filter(|source| self.has_movable_task(source));
+        let movable =
+            sources.filter(|source| self.has_movable_task(source) && !self.is_move_target(source));
         let chosen: Vec<String> = movable.skip(offset).take(SOURCE_LIMIT).collect();
         self.consolidation_offset = if chosen.len() < SOURCE_LIMIT {
             0
@@ -167,6 +168,7 @@
             let reserved = plan.capacities.get(source).map(|vm| vm.serving_reserved);
             let targets = plan.current_capacities().filter(|capacity| {
                 Some(capacity.serving_reserved) >= reserved
+                    && !capacity.is_suspect
                     && !excluded.contains(&capacity.vm)
                     && !self.is_being_cleared(&capacity.vm)
             });
--- a/crates/turmeric-jobs/src/scheduler/moves.rs
+++ b/crates/turmeric-jobs/src/scheduler/moves.rs
@@ -102,6 +102,11 @@
         })
     }
 
+    /// Returns whether space on a VM is reserved for a task that is being moved.
+    pub(super) fn is_move_target(&self, vm: &str) -> bool {
+        self.moves.values().any(|reservation| reservation.vm == vm)
+    }
+
     /// Returns how many tasks of a step are on a VM or being moved to it.
     pub(super) fn count_step(&self, vm: &str, first: &TaskName) -> u32 {
         let placed = self.vms.get(vm).map_or(0, |vm| vm.count_step(first));
