Pace best-effort tasks by the headroom of each serving task

Change: the pace also leaves 1.05 to the task with the least headroom. Policy pacing, both ways kept.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -9,7 +9,9 @@
 use eyre::{Result, eyre};
 use spdlog::{info, warn};
 use tokio::sync::{Notify, watch};
-use turmeric_jobs::{AttemptKey, AttemptTable, EndpointIncarnation, HeadroomSample, VmReport};
+use turmeric_jobs::{
+    AttemptKey, AttemptTable, EndpointIncarnation, HeadroomSample, PolicySet, VmReport,
+};
 use turmeric_platform::{CallClient, RegistryHeartbeat, StoreClient, WorkerCalls};
 use turmeric_schema::v1;
 use turmeric_types::{MonoTime, SplitMixRandom};
@@ -63,6 +65,7 @@
 /// The part of an agent's state that its lock guards.
 #[derive(Debug, Default)]
 pub(crate) struct AgentCore {
+    pub(crate) policies: PolicySet,
     pub(crate) table: AttemptTable,
     /// Shares below full speed that were last chosen, in percent.
     pub(crate) reduced_shares: BTreeMap<AttemptKey, u32>,
@@ -173,7 +176,10 @@
         zone: boot.zone.clone(),
         clock: ProcessClock::new(),
         worker: WorkerCalls::new(client.clone(), endpoint),
-        core: Mutex::new(AgentCore::default()),
+        core: Mutex::new(AgentCore {
+            policies: config.policies,
+            ..AgentCore::default()
+        }),
         report_due: Notify::new(),
         command_due: Notify::new(),
         incarnation_changed: Notify::new(),
--- a/crates/turmeric-daemon/src/hosted/pacing.rs
+++ b/crates/turmeric-daemon/src/hosted/pacing.rs
@@ -6,8 +6,8 @@
 
 use spdlog::info;
 use turmeric_jobs::{
-    AttemptKey, BestEffortNeighbour, HeadroomSample, ServingNeighbour, StepMeasurement, TaskName,
-    choose_paces,
+    AttemptKey, BestEffortNeighbour, HeadroomSample, PacingPolicy, ServingNeighbour,
+    StepMeasurement, TaskName, choose_paces,
 };
 use turmeric_platform::{WorkerAnswer, WorkerRun};
 use turmeric_types::MonoTime;
@@ -64,7 +64,7 @@
     /// Chooses the share of each best-effort attempt from the newest measurements, in percent.
     fn choose_shares(&mut self) -> BTreeMap<AttemptKey, u32> {
         let best_effort = self.best_effort_neighbours();
-        let serving = self.neighbours.serving();
+        let serving = self.neighbours.serving(self.policies.pacing);
         let paces = choose_paces(&serving, &best_effort, self.table.interferences());
         let attempts = self.table.plans().filter(|(_, plan)| plan.is_best_effort);
         let shares: BTreeMap<AttemptKey, u32> = attempts
@@ -170,14 +170,25 @@
     }
 
     /// Returns the serving steps as neighbours of the best-effort tasks.
-    fn serving(&self) -> Vec<ServingNeighbour> {
+    fn serving(&self, policy: PacingPolicy) -> Vec<ServingNeighbour> {
         self.means()
-            .map(|(_, image, headroom)| ServingNeighbour {
+            .map(|(step, image, headroom)| ServingNeighbour {
                 image: image.clone(),
                 headroom,
+                least_headroom: match policy {
+                    PacingPolicy::Mean => headroom,
+                    PacingPolicy::EachTask => self.least(step),
+                },
             })
             .collect()
     }
+
+    /// Returns the headroom of the task of a step that has the least.
+    fn least(&self, step: &TaskName) -> f64 {
+        let headrooms = self.steps.get(step).map(|(_, headrooms)| headrooms.iter());
+        let headrooms = headrooms.into_iter().flatten().copied();
+        headrooms.fold(f64::INFINITY, f64::min)
+    }
 }
 
 /// Sets the share of its full speed at which an attempt works, in percent.
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -31,7 +31,7 @@
 pub use pace::{BestEffortNeighbour, InterferenceTable, ServingNeighbour, choose_paces};
 pub use placement::{PlacementFailures, PlacementRequest, ServingHeadroom, VmCapacity, choose_vm};
 pub use policy::{
-    ConsolidationPolicy, LongRunningOrder, LongRunningStart, PolicyError, PolicySet,
+    ConsolidationPolicy, LongRunningOrder, LongRunningStart, PacingPolicy, PolicyError, PolicySet,
     StarvationPolicy,
 };
 pub use progress::{AttemptLocation, JobPhase, JobState, TaskState};
--- a/crates/turmeric-jobs/src/pace.rs
+++ b/crates/turmeric-jobs/src/pace.rs
@@ -5,6 +5,10 @@
 //! pairs of images is known, so the pace that leaves enough headroom until the next
 //! measurement is computed instead of found by trial. Images with little interference
 //! continue while those with much interference are stopped.
+//!
+//! Load pattern: the tasks of a serving step differ in their load, so that one of them may
+//! miss its target for seconds while their mean keeps enough headroom. So a little headroom
+//! is also left to the task that has the least.
 
 use std::collections::BTreeMap;
 
@@ -13,6 +17,10 @@
 /// Least headroom that is left, including what may be lost until the next measurement.
 const MIN_HEADROOM: f64 = 1.2;
 
+/// Least headroom that is left to each single task. It is just above one, where a task misses
+/// its target, because tasks of one step differ by more than [`MIN_HEADROOM`] allows for.
+const MIN_TASK_HEADROOM: f64 = 1.05;
+
 /// Smallest pace of a best-effort task, in percent; below it, the task is stopped.
 const MIN_PACE_PERCENT: u32 = 8;
 
@@ -21,8 +29,10 @@
 pub struct ServingNeighbour {
     /// Image of the tasks.
     pub image: String,
-    /// Latency target over tail latency.
+    /// Latency target over tail latency, as the mean of the step's tasks on the VM.
     pub headroom: f64,
+    /// The same of the task with the least.
+    pub least_headroom: f64,
 }
 
 /// Processors that a best-effort image can use and has used on a VM.
@@ -78,10 +88,8 @@
                 .iter()
                 .map(|(image, neighbour)| table.interference(image, &step.image) * neighbour.used)
                 .sum();
-            (
-                step.headroom + interference - MIN_HEADROOM,
-                step.image.as_str(),
-            )
+            let spare = (step.headroom - MIN_HEADROOM).min(step.least_headroom - MIN_TASK_HEADROOM);
+            (spare + interference, step.image.as_str())
         })
         .collect();
     let max_interference = |image: &str| {
--- a/crates/turmeric-jobs/src/policy.rs
+++ b/crates/turmeric-jobs/src/policy.rs
@@ -145,6 +145,15 @@
         Gathered = "gathered",
     }
 
+    /// Whose headroom the pace of best-effort tasks keeps.
+    PacingPolicy {
+        /// The mean of the tasks of a serving step.
+        Mean = "mean",
+        /// The mean, and that of each single task.
+        #[default]
+        EachTask = "each-task",
+    }
+
     /// When a job of which no task runs may interfere with serving tasks.
     StarvationPolicy {
         /// Whenever it has waited long enough.
@@ -162,6 +171,8 @@
     long_running_order: LongRunningOrder = "long-running-order",
     /// When a long-running job that has arrived is placed.
     long_running_start: LongRunningStart = "long-running-start",
+    /// Whose headroom the pace of best-effort tasks keeps.
+    pacing: PacingPolicy = "pacing",
     /// When a job of which no task runs may interfere with serving tasks.
     starvation: StarvationPolicy = "starvation",
 }
--- a/crates/turmeric-jobs/tests/headroom.rs
+++ b/crates/turmeric-jobs/tests/headroom.rs
@@ -237,6 +237,7 @@
             .map(|(number, headroom)| ServingNeighbour {
                 image: format!("s{number}"),
                 headroom: *headroom,
+                least_headroom: *headroom,
             })
             .collect();
         let best_effort: BTreeMap<String, BestEffortNeighbour> = best_effort_tasks
@@ -293,6 +294,7 @@
         let serving = [ServingNeighbour {
             image: "s".to_owned(),
             headroom,
+            least_headroom: headroom,
         }];
         choose_paces(&serving, &best_effort, &table)
     };
@@ -340,6 +342,7 @@
             let serving = [ServingNeighbour {
                 image: "s".to_owned(),
                 headroom: headroom + noise,
+                least_headroom: headroom + noise,
             }];
             let neighbour = BestEffortNeighbour { wanted, used };
             let best_effort = BTreeMap::from([("f".to_owned(), neighbour)]);
@@ -374,6 +377,45 @@
     }
 }
 
+/// Returns the headroom of the worst of a step's tasks after paces have been chosen for 2 s,
+/// when its load is higher than that of the others, so that it has 0.8 of their headroom.
+fn settled_task_headroom(knows_each_task: bool) -> f64 {
+    const BASELINE: f64 = 1.6;
+    const INTERFERENCE: f64 = 8.0;
+    const WANTED: f64 = 0.2;
+    let mut table = InterferenceTable::new();
+    table.set("f".to_owned(), "s".to_owned(), INTERFERENCE);
+    let mut used = WANTED;
+    let mut headroom = BASELINE;
+    for _ in 0..8 {
+        headroom = BASELINE - INTERFERENCE * used;
+        let serving = [ServingNeighbour {
+            image: "s".to_owned(),
+            headroom,
+            least_headroom: if knows_each_task {
+                0.8 * headroom
+            } else {
+                headroom
+            },
+        }];
+        let neighbour = BestEffortNeighbour {
+            wanted: WANTED,
+            used,
+        };
+        let best_effort = BTreeMap::from([("f".to_owned(), neighbour)]);
+        let pace = choose_paces(&serving, &best_effort, &table)["f"];
+        used = WANTED * f64::from(pace) / 100.0;
+    }
+    0.8 * headroom
+}
+
+/// The mean of a step's tasks keeps enough headroom while one of them misses its target.
+#[test]
+fn pace_keeps_the_target_of_each_task() {
+    assert!(settled_task_headroom(false) < 1.0);
+    assert!(settled_task_headroom(true) >= 1.0);
+}
+
 fn vm_capacity(vm: &str, serving: &str, headroom: f64) -> VmCapacity {
     let cores = CoreCount::from_millicores;
     let step = ServingHeadroom {
--- a/crates/turmeric-jobs/tests/policies.rs
+++ b/crates/turmeric-jobs/tests/policies.rs
@@ -8,8 +8,8 @@
 use rstest::rstest;
 use turmeric_jobs::{
     ConsolidationPolicy, EndpointIncarnation, EndpointInfo, HeadroomSample, JobCode, JobScheduler,
-    JobSpec, LeaderTimeouts, LeaseLimits, LongRunningOrder, LongRunningStart, PolicySet,
-    QueuePolicy, StarvationPolicy, StepMeasurement, StepSpec, TaskName, VmReport,
+    JobSpec, LeaderTimeouts, LeaseLimits, LongRunningOrder, LongRunningStart, PacingPolicy,
+    PolicySet, QueuePolicy, StarvationPolicy, StepMeasurement, StepSpec, TaskName, VmReport,
 };
 use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
 
@@ -41,6 +41,9 @@
 #[case::long_running_start(LongRunningStart::NAMES, |name: &str| {
     name.parse::<LongRunningStart>().map(|way| way.to_string())
 })]
+#[case::pacing(PacingPolicy::NAMES, |name: &str| {
+    name.parse::<PacingPolicy>().map(|way| way.to_string())
+})]
 fn every_way_is_read_by_the_name_that_it_is_written_with(
     #[case] ways: &[&str],
     #[case] read_and_write: fn(&str) -> Result<String, turmeric_jobs::PolicyError>,
