Store a poll's responder together with the poll

Cause: an entry took an agent's poll into the scheduler under one lock and stored its responder under another. A flush in between built the reply to the new poll and sent it with the responder of the earlier poll, which the agent had abandoned. The agent then waited 3.5 s for a reply, and a task that had been assigned to it began as much later (tasks_of_a_dead_vm_run_elsewhere_after_the_lease, once beside load). Ruled out: a second attempt (both logs say attempt 1), late agents (both attached 2 s before).

--- a/crates/turmeric-daemon/src/entry/control_loop.rs
+++ b/crates/turmeric-daemon/src/entry/control_loop.rs
@@ -51,14 +51,23 @@
         received_at: state.clock.now(),
         wall_time: state.clock.wall(),
     };
-    let (agent, due_at) = {
+    let agent = {
         let mut scheduler = state.scheduler();
         match scheduler.receive_poll(&poll, context) {
             Ok(Some(agent)) => {
                 let due_at = scheduler
                     .reply_deadline(&agent)
                     .unwrap_or(context.received_at);
-                (agent, due_at)
+                let pending = PendingPoll {
+                    responder: message.responder,
+                    due_at,
+                };
+                // This replaces a pending earlier poll of the same agent. It is stored before
+                // the scheduler is unlocked: otherwise another thread could send the reply to
+                // this poll with the responder of the earlier one, and the agent would wait
+                // until it times out.
+                state.pending_polls().insert(agent.clone(), pending);
+                agent
             }
             // The poll is of an earlier incarnation of the agent, which gets no response.
             Ok(None) => return,
@@ -82,12 +91,6 @@
         state.wake_writers();
         state.placing.notify_one();
     }
-    let poll = PendingPoll {
-        responder: message.responder,
-        due_at,
-    };
-    // This replaces a pending earlier poll of the same agent.
-    state.pending_polls().insert(agent.clone(), poll);
     answer(state, &agent);
 }
 
@@ -137,26 +140,26 @@
 
 /// Answers the agent's poll if the scheduler has a response for it.
 fn answer(state: &EntryState, agent: &AgentId) {
-    let reply = {
+    let (mut reply, poll) = {
         let mut scheduler = state.scheduler();
         let reply = scheduler.reply(agent, state.clock.now());
-        if reply.is_none() {
+        let mut pending_polls = state.pending_polls();
+        let Some(reply) = reply else {
             // The pending updates may be due earlier than before.
             let due_at = scheduler.reply_deadline(agent);
-            let mut pending_polls = state.pending_polls();
             if let (Some(poll), Some(due_at)) = (pending_polls.get_mut(agent), due_at) {
                 poll.due_at = due_at;
             }
-        }
-        reply
-    };
-    let Some(mut reply) = reply else {
-        return;
+            return;
+        };
+        // The reply and the poll that it answers are taken together.
+        let Some(poll) = pending_polls.remove(agent) else {
+            return;
+        };
+        (reply, poll)
     };
     reply.hybrid_time = state.timeline.stamp();
-    if let Some(poll) = state.pending_polls().remove(agent) {
-        poll.responder.send(&reply.encode_to_vec());
-    }
+    poll.responder.send(&reply.encode_to_vec());
 }
 
 /// Answers the polls of all agents with pending updates.
