--- a/crates/turmeric-daemon/src/config/hosted.rs
+++ b/crates/turmeric-daemon/src/config/hosted.rs
@@ -29,7 +29,7 @@
     FlagSpec {
         name: "policies",
         default: None,
-        help: "JSON file that names a way for some policies, e.g. {\"starvation\": \"always\"}",
+        help: "JSON file that names a variant for some policies, e.g. {\"starvation\": \"always\"}",
     },
 ];
 
--- a/crates/turmeric-daemon/src/config/reader.rs
+++ b/crates/turmeric-daemon/src/config/reader.rs
@@ -134,7 +134,7 @@
     }
 }
 
-/// Reads a file that maps names of policies to names of their ways.
+/// Reads a file that maps names of policies to names of their variants.
 fn read_policies(path: &str) -> Result<PolicySet, FindingList> {
     let mut findings = FindingList::new();
     let text = findings.collect("the policies", std::fs::read_to_string(path));
--- a/crates/turmeric-jobs/src/names.rs
+++ b/crates/turmeric-jobs/src/names.rs
@@ -1,6 +1,7 @@
 //! Names of jobs, their tasks and attempts.
 
 use std::fmt;
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 
 /// Error for a text that is not the name of a job or a task.
@@ -77,6 +78,15 @@
     pub fn first_of_step(&self) -> Self {
         Self { index: 0, ..*self }
     }
+
+    /// Returns the names that all tasks of the same step and occurrence have.
+    pub(crate) fn step_range(&self) -> RangeInclusive<Self> {
+        let last = Self {
+            index: u32::MAX,
+            ..*self
+        };
+        self.first_of_step()..=last
+    }
 }
 
 impl fmt::Display for TaskName {
--- a/crates/turmeric-jobs/src/policy.rs
+++ b/crates/turmeric-jobs/src/policy.rs
@@ -1,56 +1,56 @@
-//! Policies: the ways in which each decision of the scheduler can be made.
+//! Policies of the scheduler, each with its variants.
 //!
-//! A policy is an enum with a variant a way. Each way has a name, so that a settings file can
-//! choose it and a comparison of two files can measure it. The default is the way that was
-//! better in the comparisons of `docs/design/`.
+//! A variant is one algorithm for a decision. It has a name, so that a settings file can
+//! choose it and a comparison of two files can measure it. The default did best in the
+//! comparisons of `docs/design/`.
 
 use std::collections::BTreeMap;
 use std::fmt;
 
 use turmeric_types::FindingList;
 
-/// Error for a way that a policy does not have.
+/// Error for a variant that a policy does not have.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PolicyError {
     name: String,
-    ways: &'static [&'static str],
+    variants: &'static [&'static str],
 }
 
 impl fmt::Display for PolicyError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "\"{}\" is not a way of this policy; its ways are {}",
+            "\"{}\" is not a variant of this policy; its variants are {}",
             self.name,
-            self.ways.join(", ")
+            self.variants.join(", ")
         )
     }
 }
 
 impl std::error::Error for PolicyError {}
 
-/// Declares policies, with the names of their ways.
+/// Declares policies, with the names of their variants.
 macro_rules! policies {
     ($(
         $(#[$doc:meta])*
-        $policy:ident { $( $(#[$way_doc:meta])* $way:ident = $name:literal, )+ }
+        $policy:ident { $( $(#[$variant_doc:meta])* $variant:ident = $name:literal, )+ }
     )+) => {
         $(
             $(#[$doc])*
             #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
             pub enum $policy {
-                $( $(#[$way_doc])* $way, )+
+                $( $(#[$variant_doc])* $variant, )+
             }
 
             impl $policy {
-                /// Names of all ways.
+                /// Names of all variants.
                 pub const NAMES: &'static [&'static str] = &[$($name),+];
             }
 
             impl fmt::Display for $policy {
                 fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
                     formatter.write_str(match self {
-                        $( Self::$way => $name, )+
+                        $( Self::$variant => $name, )+
                     })
                 }
             }
@@ -60,8 +60,8 @@
 
                 fn from_str(text: &str) -> Result<Self, PolicyError> {
                     match text {
-                        $( $name => Ok(Self::$way), )+
-                        _ => Err(PolicyError { name: text.to_owned(), ways: Self::NAMES }),
+                        $( $name => Ok(Self::$variant), )+
+                        _ => Err(PolicyError { name: text.to_owned(), variants: Self::NAMES }),
                     }
                 }
             }
@@ -72,7 +72,7 @@
 /// Declares the set of all policies, with the name of each in a settings file.
 macro_rules! policy_set {
     ($( $(#[$doc:meta])* $field:ident: $policy:ident = $name:literal, )+) => {
-        /// The way chosen for each policy.
+        /// The variant chosen for each policy.
         #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
         pub struct PolicySet {
             $( $(#[$doc])* pub $field: $policy, )+
@@ -82,20 +82,20 @@
             /// Names of all policies.
             pub const NAMES: &'static [&'static str] = &[$($name),+];
 
-            /// Creates the set in which the named policies have the named ways, and all
+            /// Creates the set in which the named policies have the named variants, and all
             /// others their defaults.
             ///
             /// # Errors
             ///
-            /// Returns all unknown policies and ways together.
+            /// Returns all unknown policies and variants together.
             pub fn from_names(names: &BTreeMap<String, String>) -> Result<Self, FindingList> {
                 let mut set = Self::default();
                 let mut findings = FindingList::new();
-                for (policy, way) in names {
+                for (policy, variant) in names {
                     match policy.as_str() {
                         $( $name => {
-                            if let Some(way) = findings.collect(policy.clone(), way.parse()) {
-                                set.$field = way;
+                            if let Some(variant) = findings.collect(policy.clone(), variant.parse()) {
+                                set.$field = variant;
                             }
                         } )+
                         _ => findings.push(
@@ -110,8 +110,8 @@
 
         impl fmt::Display for PolicySet {
             fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-                let ways = [$( format!("{} {}", $name, self.$field) ),+];
-                formatter.write_str(&ways.join(", "))
+                let variants = [$( format!("{} {}", $name, self.$field) ),+];
+                formatter.write_str(&variants.join(", "))
             }
         }
     };
--- a/crates/turmeric-jobs/src/progress.rs
+++ b/crates/turmeric-jobs/src/progress.rs
@@ -226,12 +226,8 @@
             step,
             index: 0,
         };
-        let last = TaskName {
-            index: u32::MAX,
-            ..first
-        };
         self.tasks
-            .range(first..=last)
+            .range(first.step_range())
             .all(|(_, state)| state.is_done)
     }
 
--- a/crates/turmeric-jobs/src/scheduler/consolidate.rs
+++ b/crates/turmeric-jobs/src/scheduler/consolidate.rs
@@ -5,7 +5,7 @@
 //! serving tasks of several images and a part of its processors is free. Best-effort work
 //! then finds idle processors, but hardly a VM where it interferes with none of the images.
 //! So the VM with the least serving work is cleared when all of its serving tasks fit on VMs
-//! that have others. A moved task is away for about 0.7 s.
+//! that have others. A moved task is placed again after about 0.7 s.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -173,12 +173,11 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let first = TaskName { index: 0, ..task };
-        let last = TaskName {
-            index: u32::MAX,
-            ..task
+        let members = if is_gang {
+            task.step_range()
+        } else {
+            task..=task
         };
-        let members = if is_gang { first..=last } else { task..=task };
         for (_, state) in job.tasks.range_mut(members) {
             state.is_done = true;
             if let Some(location) = state.location.take() {
--- a/crates/turmeric-jobs/src/scheduler/moves.rs
+++ b/crates/turmeric-jobs/src/scheduler/moves.rs
@@ -80,12 +80,7 @@
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
         };
-        let first = task.first_of_step();
-        let last = TaskName {
-            index: u32::MAX,
-            ..first
-        };
-        job.tasks.range(first..=last).all(|(name, state)| {
+        job.tasks.range(task.step_range()).all(|(name, state)| {
             let Some(location) = &state.location else {
                 return false;
             };
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -192,13 +192,9 @@
             step: number,
             index: 0,
         };
-        let last = TaskName {
-            index: u32::MAX,
-            ..first
-        };
         let waiting: Vec<TaskName> = job
             .tasks
-            .range(first..=last)
+            .range(first.step_range())
             .filter(|(_, state)| state.is_waiting())
             .map(|(name, _)| *name)
             .collect();
--- a/crates/turmeric-jobs/tests/policies.rs
+++ b/crates/turmeric-jobs/tests/policies.rs
@@ -1,4 +1,4 @@
-//! Policies: their names in a settings file, and the ways of the starvation policy.
+//! Policies: their names in a settings file, and the variants of the starvation policy.
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
@@ -16,12 +16,12 @@
 fn names(pairs: &[(&str, &str)]) -> BTreeMap<String, String> {
     let pairs = pairs.iter();
     pairs
-        .map(|(policy, way)| ((*policy).to_owned(), (*way).to_owned()))
+        .map(|(policy, variant)| ((*policy).to_owned(), (*variant).to_owned()))
         .collect()
 }
 
 #[test]
-fn named_ways_are_chosen_and_the_others_keep_their_defaults() {
+fn named_variants_are_chosen_and_the_others_keep_their_defaults() {
     let set = PolicySet::from_names(&names(&[("consolidation", "none")])).unwrap();
     assert_eq!(set.consolidation, ConsolidationPolicy::None);
     assert_eq!(set.starvation, PolicySet::default().starvation);
@@ -30,36 +30,36 @@
 
 #[rstest]
 #[case::starvation(StarvationPolicy::NAMES, |name: &str| {
-    name.parse::<StarvationPolicy>().map(|way| way.to_string())
+    name.parse::<StarvationPolicy>().map(|variant| variant.to_string())
 })]
 #[case::consolidation(ConsolidationPolicy::NAMES, |name: &str| {
-    name.parse::<ConsolidationPolicy>().map(|way| way.to_string())
+    name.parse::<ConsolidationPolicy>().map(|variant| variant.to_string())
 })]
 #[case::long_running_order(LongRunningOrder::NAMES, |name: &str| {
-    name.parse::<LongRunningOrder>().map(|way| way.to_string())
+    name.parse::<LongRunningOrder>().map(|variant| variant.to_string())
 })]
 #[case::long_running_start(LongRunningStart::NAMES, |name: &str| {
-    name.parse::<LongRunningStart>().map(|way| way.to_string())
+    name.parse::<LongRunningStart>().map(|variant| variant.to_string())
 })]
 #[case::pacing(PacingPolicy::NAMES, |name: &str| {
-    name.parse::<PacingPolicy>().map(|way| way.to_string())
+    name.parse::<PacingPolicy>().map(|variant| variant.to_string())
 })]
-fn every_way_is_read_by_the_name_that_it_is_written_with(
-    #[case] ways: &[&str],
+fn every_variant_is_read_by_the_name_that_it_is_written_with(
+    #[case] variants: &[&str],
     #[case] read_and_write: fn(&str) -> Result<String, turmeric_jobs::PolicyError>,
 ) {
-    for way in ways {
-        assert_eq!(read_and_write(way).unwrap(), *way);
+    for variant in variants {
+        assert_eq!(read_and_write(variant).unwrap(), *variant);
     }
 }
 
 #[test]
-fn unknown_policies_and_ways_are_reported_together() {
+fn unknown_policies_and_variants_are_reported_together() {
     let names = names(&[("starvation", "sometimes"), ("colour", "red")]);
     let findings = PolicySet::from_names(&names).unwrap_err().to_string();
     assert!(findings.contains("2 findings"), "{findings}");
     assert!(
-        findings.contains("\"sometimes\" is not a way of this policy; its ways are always"),
+        findings.contains("\"sometimes\" is not a variant of this policy; its variants are always"),
         "{findings}"
     );
     assert!(findings.contains("colour: no such policy"), "{findings}");
--- a/crates/turmeric-testbed/src/bed.rs
+++ b/crates/turmeric-testbed/src/bed.rs
@@ -17,7 +17,7 @@
 /// Longest wait for processes to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
-/// Number of lines of each log that a failed test prints.
+/// Number of lines of each process's log that a failed test prints.
 const SHOWN_LINES: usize = 80;
 
 /// Interval at which a condition is polled.
@@ -509,7 +509,7 @@
     ///
     /// # Panics
     ///
-    /// Panics after `limit`, with the ends of all logs.
+    /// Panics after `limit`.
     pub async fn wait_until(
         &self,
         text: &str,
@@ -518,22 +518,20 @@
     ) {
         let end = Instant::now() + limit;
         while !is_true().await {
-            assert!(
-                Instant::now() < end,
-                "waited {limit:?} for {text}\n{}",
-                self.log_ends()
-            );
+            assert!(Instant::now() < end, "waited {limit:?} for {text}");
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
-    /// Returns the last lines of the logs of entries and agents.
+    /// Returns the last lines of the logs of all processes.
     pub fn log_ends(&self) -> String {
         let mut text = String::new();
-        for process in self.entries.iter().chain(&self.agents) {
-            let log = process.log_text();
+        let files = std::fs::read_dir(&self.directory).into_iter().flatten();
+        for path in files.flatten().map(|file| file.path()) {
+            let log = std::fs::read_to_string(&path).unwrap_or_default();
             let lines: Vec<&str> = log.lines().collect();
-            let first = lines.len().saturating_sub(5);
+            let first = lines.len().saturating_sub(SHOWN_LINES);
+            text.push_str(&format!("--- {}\n", path.display()));
             text.push_str(&lines[first..].join("\n"));
             text.push('\n');
         }
@@ -558,27 +556,12 @@
     }
 }
 
-impl TestBed {
-    /// Prints the end of each process's log, since the folder of a run in CI is lost.
-    fn show_logs(&self) {
-        eprintln!(
-            "the test failed; its logs stay in {}",
-            self.directory.display()
-        );
-        let files = std::fs::read_dir(&self.directory).into_iter().flatten();
-        for path in files.flatten().map(|file| file.path()) {
-            let text = std::fs::read_to_string(&path).unwrap_or_default();
-            let lines: Vec<&str> = text.lines().collect();
-            let shown = &lines[lines.len().saturating_sub(SHOWN_LINES)..];
-            eprintln!("--- {}\n{}", path.display(), shown.join("\n"));
-        }
-    }
-}
-
 impl Drop for TestBed {
     fn drop(&mut self) {
         if std::thread::panicking() {
-            self.show_logs();
+            // The folder of a run in CI is lost with it.
+            let directory = self.directory.display();
+            eprintln!("the logs stay in {directory}\n{}", self.log_ends());
             return;
         }
         // The processes end with their own values.
