Tell crashes of an endpoint from announced departures in the leader's log

The logs could not separate the hypotheses of the incident: a crash and a planned restart were both `other_life`, and no line showed when the leader could have known of one.

`attempt lost` now has the cause `crashed` unless the endpoint was draining; agents report a worker that does not answer (a new field, which earlier builds ignore), and the leader logs and counts it. No decision changes.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -290,6 +290,7 @@
                 state.metrics.held_attempts.set(held);
                 VmReport {
                     headroom: sample.map(|sample| (core.measurement_number, sample)),
+                    is_unresponsive: core.is_unresponsive,
                     ..core.table.report(&state.vm, &state.zone, now)
                 }
             };
--- a/crates/turmeric-daemon/src/hosted/decision_log.rs
+++ b/crates/turmeric-daemon/src/hosted/decision_log.rs
@@ -68,6 +68,17 @@
                     cause = loss_label(cause)
                 });
             }
+            JobEvent::Reachability {
+                vm,
+                is_lost,
+                attempts,
+            } => {
+                let outcome = if is_lost { "lost" } else { "regained" };
+                count(&metrics.workers, "worker", outcome);
+                info!("reachability of a worker changed", kv: {
+                    vm = vm, is_lost = is_lost, attempts = attempts
+                });
+            }
             JobEvent::Ended { key, vm, kind } => {
                 count(&metrics.attempts, "ended", end_label(kind));
                 info!("attempt ended", kv: {
@@ -165,6 +176,7 @@
 fn loss_label(cause: LossCause) -> &'static str {
     match cause {
         LossCause::LeaseExpired => "lease_over",
+        LossCause::Crashed => "crashed",
         LossCause::OtherIncarnation => "other_life",
         LossCause::IncarnationEnded => "life_over",
         LossCause::Refused => "refused",
--- a/crates/turmeric-daemon/src/hosted/metrics.rs
+++ b/crates/turmeric-daemon/src/hosted/metrics.rs
@@ -60,6 +60,8 @@
     pub(crate) commit_seconds: Histogram,
     /// Start and stop calls to the worker beside an agent, by answer.
     pub(crate) worker_calls: OutcomeCounter,
+    /// Workers that stopped to answer their agents, or answer again, as the leader sees it.
+    pub(crate) workers: OutcomeCounter,
     /// Epoch of this entry's leadership; zero while it does not lead.
     pub(crate) lead_epoch: Gauge<i64, AtomicI64>,
     /// Jobs that have not ended, at the leader.
@@ -86,6 +88,7 @@
             attempts: Family::default(),
             commit_seconds: histogram(),
             worker_calls: Family::default(),
+            workers: Family::default(),
             lead_epoch: Gauge::default(),
             open_jobs: Gauge::default(),
             held_attempts: Gauge::default(),
@@ -131,6 +134,11 @@
             "Start and stop calls to the worker",
             self.worker_calls.clone(),
         );
+        registry.register(
+            "workers",
+            "Workers that stopped to answer their agents, or answer again",
+            self.workers.clone(),
+        );
         registry.register(
             "lead_epoch",
             "Epoch of this entry's leadership, or zero while it does not lead",
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -183,7 +183,10 @@
             RETRY_INTERVAL
         }
         HoldAnswer::Unknown { .. } => {
-            core.is_unresponsive = true;
+            if !core.is_unresponsive {
+                core.is_unresponsive = true;
+                state.report_due.notify_one();
+            }
             if core.table.is_synced() && core.has_lease_expired(now) {
                 warn!("leases have expired at an unresponsive worker", kv: {
                     life = incarnation.to_string()
--- a/crates/turmeric-jobs/benches/leader.rs
+++ b/crates/turmeric-jobs/benches/leader.rs
@@ -48,6 +48,7 @@
         }),
         is_synced: true,
         is_terminated: false,
+        is_unresponsive: false,
         attempts: runs,
         ends: Vec::new(),
         refused: Vec::new(),
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -552,6 +552,7 @@
             endpoint_info: self.endpoint_info.clone(),
             is_synced: self.is_synced,
             is_terminated: self.is_terminated,
+            is_unresponsive: false,
             attempts: self
                 .attempts
                 .values()
--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -154,6 +154,8 @@
     pub is_synced: bool,
     /// All attempts of this incarnation have terminated.
     pub is_terminated: bool,
+    /// The worker has not answered the agent's last poll.
+    pub is_unresponsive: bool,
     /// Attempts that the worker runs or that the agent may still start there.
     pub attempts: Vec<AttemptStatus>,
     /// Ends of attempts that the leader has not recorded yet.
@@ -204,6 +206,7 @@
             taken_orders: self.applied_orders,
             headroom: self.headroom.as_ref().map(write_headroom),
             successor: String::new(),
+            unresponsive: self.is_unresponsive,
         }
     }
 
@@ -244,6 +247,7 @@
             endpoint_info: message.life.map(EndpointInfo::read),
             is_synced: message.synced,
             is_terminated: message.over,
+            is_unresponsive: message.unresponsive,
             applied_orders: message.taken_orders,
             headroom: message.headroom.map(read_headroom).transpose()?,
         })
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -38,9 +38,13 @@
         vm.stamp_millis = report.stamp_millis;
         vm.is_ready = false;
         self.pending_updates.insert(name.clone());
+        self.record_reachability(&report, now);
         let Some(info) = report.endpoint_info.clone() else {
             return;
         };
+        let Some(vm) = self.vms.get_mut(&name) else {
+            return;
+        };
         let is_other_incarnation = vm
             .info
             .as_ref()
@@ -83,6 +87,21 @@
         }
     }
 
+    /// Records whether the worker answers its agent.
+    fn record_reachability(&mut self, report: &VmReport, now: MonoTime) {
+        let Some(vm) = self.vms.get_mut(&report.vm) else {
+            return;
+        };
+        if report.is_unresponsive != vm.unresponsive_since.is_some() {
+            vm.unresponsive_since = report.is_unresponsive.then_some(now);
+            self.events.push(JobEvent::Reachability {
+                vm: report.vm.clone(),
+                is_lost: report.is_unresponsive,
+                attempts: vm.attempts.len(),
+            });
+        }
+    }
+
     fn apply_ends(&mut self, report: &VmReport, now: MonoTime, wall: WallTime) {
         for end in &report.ends {
             self.apply_end(&report.vm, end, now, wall);
@@ -282,13 +301,25 @@
     }
 
     fn lose_other_incarnations(&mut self, name: &str) {
-        self.lose_where(name, LossCause::OtherIncarnation, |vm, attempt| {
+        let was_draining = self.vms.get(name).is_some_and(|vm| vm.was_draining);
+        let cause = if was_draining {
+            LossCause::OtherIncarnation
+        } else {
+            LossCause::Crashed
+        };
+        self.lose_where(name, cause, |vm, attempt| {
             !vm.is_current_incarnation(&attempt.location)
         });
     }
 
     fn lose_current_incarnation(&mut self, name: &str) {
-        self.lose_where(name, LossCause::IncarnationEnded, |vm, attempt| {
+        let info = self.vms.get(name).and_then(|vm| vm.info.as_ref());
+        let cause = if info.is_some_and(|info| info.is_draining) {
+            LossCause::IncarnationEnded
+        } else {
+            LossCause::Crashed
+        };
+        self.lose_where(name, cause, |vm, attempt| {
             vm.is_current_incarnation(&attempt.location)
         });
     }
--- a/crates/turmeric-jobs/src/scheduler/notes.rs
+++ b/crates/turmeric-jobs/src/scheduler/notes.rs
@@ -28,7 +28,10 @@
 pub enum LossCause {
     /// The agent sent no report until the leases on its VM had certainly expired.
     LeaseExpired,
-    /// The endpoint has another incarnation than the attempt's.
+    /// The endpoint crashed: it has another incarnation than the attempt's, or its leases
+    /// expired, and it was not draining.
+    Crashed,
+    /// The endpoint was draining, and has another incarnation than the attempt's.
     OtherIncarnation,
     /// The agent reported that the endpoint's incarnation has ended.
     IncarnationEnded,
@@ -70,6 +73,15 @@
         /// The cause.
         cause: LossCause,
     },
+    /// The worker on a VM does not answer its agent, or answers again.
+    Reachability {
+        /// The VM.
+        vm: String,
+        /// The worker does not answer.
+        is_lost: bool,
+        /// Attempts that may be running on the VM.
+        attempts: usize,
+    },
     /// An attempt ended without success.
     Ended {
         /// The attempt.
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -137,9 +137,13 @@
 pub(crate) struct VmState {
     pub(crate) zone: String,
     pub(crate) info: Option<EndpointInfo>,
+    /// The endpoint's earlier incarnation was draining when it was last heard of.
+    pub(crate) was_draining: bool,
     /// The agent knows this leader and is synchronized with the endpoint's current
     /// incarnation under the agent's own fencing token.
     pub(crate) is_ready: bool,
+    /// When the agent first reported that the worker does not answer; [`None`] if it does.
+    pub(crate) unresponsive_since: Option<MonoTime>,
     /// When the agent's last report arrived.
     pub(crate) reported_at: MonoTime,
     /// The agent's clock in its last report, in milliseconds.
@@ -171,7 +175,9 @@
         Self {
             zone: String::new(),
             info: None,
+            was_draining: false,
             is_ready: false,
+            unresponsive_since: None,
             reported_at: now,
             stamp_millis: 0,
             leased_at,
@@ -188,7 +194,8 @@
 
     /// Discards the state that belonged to an earlier incarnation of the endpoint.
     pub(crate) fn begin_incarnation(&mut self, info: EndpointInfo) {
-        self.info = Some(info);
+        let earlier = self.info.replace(info);
+        self.was_draining = earlier.is_some_and(|earlier| earlier.is_draining);
         self.unrecorded_ends.clear();
         self.last_end = 0;
         self.failed_jobs.clear();
--- a/crates/turmeric-jobs/tests/consolidation.rs
+++ b/crates/turmeric-jobs/tests/consolidation.rs
@@ -297,6 +297,7 @@
             }),
             is_synced: true,
             is_terminated: false,
+            is_unresponsive: false,
             attempts: statuses.chain(stopping).collect(),
             ends: self.ends.clone(),
             refused: Vec::new(),
--- a/crates/turmeric-jobs/tests/leaving.rs
+++ b/crates/turmeric-jobs/tests/leaving.rs
@@ -39,6 +39,7 @@
         }),
         is_synced: true,
         is_terminated: false,
+        is_unresponsive: false,
         attempts: runs,
         ends: Vec::new(),
         refused: Vec::new(),
@@ -216,6 +217,7 @@
     let last = VmReport {
         is_synced: false,
         is_terminated: true,
+        is_unresponsive: false,
         ends: vec![AttemptEnd {
             number: 1,
             key: pair.attempt_of(pair.finite),
@@ -246,6 +248,7 @@
     let mut last = VmReport {
         is_synced: false,
         is_terminated: true,
+        is_unresponsive: false,
         ..report("a", true, 1200, Vec::new())
     };
     if let Some(info) = &mut last.endpoint_info {
--- a/crates/turmeric-jobs/tests/policies.rs
+++ b/crates/turmeric-jobs/tests/policies.rs
@@ -118,6 +118,7 @@
         }),
         is_synced: true,
         is_terminated: false,
+        is_unresponsive: false,
         attempts: Vec::new(),
         ends: Vec::new(),
         refused: Vec::new(),
