Place nothing on a VM whose worker does not answer its agent

Cause: the agent notices a crash at once, by a refused connection, and told the leader only of the next incarnation. The leader goes by the age of the agent's last report, which says nothing of the worker. Class: a healthy reporter stands for what it reports on. Now the agent's word that the worker does not answer closes the VM to placements until it answers. The test failed before: 6 tasks were placed beside the crashed endpoint and did not start.

--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -248,6 +248,7 @@
                 .any(|attempt| attempt.placed_at >= self.suspect_until);
         if !self.is_ready
             || is_unresponsive
+            || self.unresponsive_since.is_some()
             || info.is_draining
             || self
                 .attempts
--- a/crates/turmeric-jobs/tests/crashes.rs
+++ b/crates/turmeric-jobs/tests/crashes.rs
@@ -349,3 +349,17 @@
         assert_eq!(fleet.phase(code), JobPhase::Done, "{code}");
     }
 }
+
+/// A crashed endpoint is noticed by its agent at once; what is placed there until it is back
+/// waits for nothing.
+#[test]
+fn nothing_is_placed_on_a_vm_whose_worker_does_not_answer() {
+    let mut fleet = Fleet::new(2);
+    fleet.play(10);
+    fleet.crash(0);
+    fleet.play(2);
+    let code = fleet.submit(1, 6, 1);
+    fleet.play(RESTART_ROUNDS as usize / 2);
+    let job = fleet.leader.job(code).unwrap();
+    assert!(job.tasks.values().all(|state| state.is_done));
+}
