Start nothing on a VM that has shrunk since the task was placed

Callers: LIMIT would break where workers accept every start and state a capacity that shrinks.

Cause: capacity was checked when a task was placed only. A placement waits for its record as long as the store is away, and an order for as long as its agent gets no answer, so the start relied on capacity that was gone for more than 4.5 s. Class: a check that is older than the action that it allows; the same held for a zone taken out of service meanwhile.

The leader takes back what it has never ordered if the VM no longer has room for it or its zone is closed. Agents check again when they send a start: orders now say what a task reserves (new fields, which earlier builds ignore; without them nothing is checked).

placement_that_waited_for_the_store_fits_its_vm failed before: four starts on a VM of no capacity.

--- a/crates/turmeric-daemon/src/hosted/decision_log.rs
+++ b/crates/turmeric-daemon/src/hosted/decision_log.rs
@@ -203,6 +203,7 @@
         LossCause::OtherIncarnation => "other_life",
         LossCause::IncarnationEnded => "life_over",
         LossCause::Refused => "refused",
+        LossCause::Withdrawn => "withdrawn",
         LossCause::Dropped => "dropped",
     }
 }
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use turmeric_schema::v1;
-use turmeric_types::{CoreCount, MonoTime};
+use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet};
 
 use crate::{
     AttemptEnd, AttemptKey, AttemptStatus, EndpointIncarnation, EndpointInfo, IncarnationCrash,
@@ -46,6 +46,8 @@
     pub image: String,
     /// Processors that the task uses at full speed.
     pub cores: CoreCount,
+    /// Resources that the task reserves on the VM; none from an earlier version of the leader.
+    pub reserved: ResourceSet,
 }
 
 /// Command to send to the worker.
@@ -118,6 +120,29 @@
     status: AttemptStatus,
 }
 
+/// Capacity of a worker that no attempt reserves.
+struct FreeCapacity {
+    left: ResourceSet,
+    /// The attempts reserve more than the capacity.
+    is_exceeded: bool,
+}
+
+impl FreeCapacity {
+    fn take(&mut self, reserved: &ResourceSet) {
+        self.is_exceeded |= !reserved.fits_in(&self.left);
+        self.left = self.left.saturating_sub(reserved);
+    }
+
+    /// Returns whether an attempt may be started. One that was sent before is accounted for.
+    fn can_start(&self, attempt: &TrackedAttempt, plan: &StartPlan) -> bool {
+        if attempt.was_sent {
+            !self.is_exceeded
+        } else {
+            plan.reserved.fits_in(&self.left)
+        }
+    }
+}
+
 /// The attempts of one worker, as known to its agent.
 #[derive(Debug, Default)]
 pub struct AttemptTable {
@@ -391,6 +416,21 @@
         self.attempts.insert(key, attempt);
     }
 
+    /// Returns the capacity that is left by all attempts that may be at the worker.
+    fn free_capacity(&self) -> FreeCapacity {
+        let info = self.endpoint_info.as_ref();
+        let capacity = info.map_or(ResourceSet::default(), |info| info.capacity);
+        let mut free = FreeCapacity {
+            left: capacity,
+            is_exceeded: false,
+        };
+        let sent = self.attempts.values().filter(|attempt| attempt.was_sent);
+        for plan in sent.filter_map(|attempt| attempt.plan.as_ref()) {
+            free.take(&plan.reserved);
+        }
+        free
+    }
+
     /// Returns the commands that are due, each once until it is answered.
     pub fn take_commands(&mut self, now: MonoTime) -> Vec<WorkerCommand> {
         if !self.is_synced {
@@ -404,6 +444,7 @@
                 .endpoint_info
                 .as_ref()
                 .is_some_and(|endpoint_info| endpoint_info.is_draining);
+        let mut free = self.free_capacity();
         let mut commands = Vec::new();
         let mut refused = Vec::new();
         for (key, attempt) in &mut self.attempts {
@@ -415,7 +456,18 @@
                     refused.push(*key)
                 }
                 (AttemptState::StartDue, _) if is_draining => attempt.state = AttemptState::StopDue,
+                // The capacity has shrunk since the leader placed the attempt.
+                (AttemptState::StartDue, Some(plan)) if !free.can_start(attempt, plan) => {
+                    if attempt.was_sent {
+                        attempt.state = AttemptState::StopDue;
+                    } else {
+                        refused.push(*key);
+                    }
+                }
                 (AttemptState::StartDue, Some(plan)) if is_fresh => {
+                    if !attempt.was_sent {
+                        free.take(&plan.reserved);
+                    }
                     attempt.state = AttemptState::Starting;
                     attempt.was_sent = true;
                     commands.push(WorkerCommand::Start(plan.clone()));
@@ -626,5 +678,10 @@
             .then_some(order.latency_target_millis),
         image: order.image.clone(),
         cores: CoreCount::from_millicores(order.millicores),
+        reserved: ResourceSet::new(
+            CoreCount::from_millicores(order.reserved_millicores),
+            MemorySize::new(order.reserved_memory_bytes),
+            AcceleratorCount::new(order.reserved_accelerators),
+        ),
     })
 }
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -246,7 +246,7 @@
     }
 
     /// Returns a task to the queue whose attempt can no longer be running.
-    fn requeue_task(&mut self, key: AttemptKey, attempt: &VmAttempt, cause: LossCause) {
+    pub(super) fn requeue_task(&mut self, key: AttemptKey, attempt: &VmAttempt, cause: LossCause) {
         let Some(job) = self.jobs.get_mut(&key.task.job) else {
             return;
         };
--- a/crates/turmeric-jobs/src/scheduler/notes.rs
+++ b/crates/turmeric-jobs/src/scheduler/notes.rs
@@ -37,6 +37,8 @@
     IncarnationEnded,
     /// The agent reported that it will never start the attempt.
     Refused,
+    /// It was never ordered, and its VM may not run it any longer.
+    Withdrawn,
     /// It was no longer wanted, and the agent does not list it.
     Dropped,
 }
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -7,6 +7,7 @@
 use turmeric_types::MonoTime;
 
 use super::JobScheduler;
+use super::notes::LossCause;
 use super::vm::VmAttempt;
 use crate::{AttemptKey, write_key};
 
@@ -20,6 +21,7 @@
     /// Orders list every attempt that may run on the VM, so that lost orders need no tracking.
     /// Returns [`None`] for a VM that has never reported.
     pub fn orders(&mut self, name: &str, now: MonoTime) -> Option<v1::VmOrders> {
+        self.withdraw_unsent(name);
         self.order_sequence += 1;
         let sequence = self.order_sequence;
         let (mut keep, mut pending) = (BTreeSet::new(), BTreeSet::new());
@@ -67,6 +69,9 @@
                 latency_target_millis: step.latency_target_millis.unwrap_or_default(),
                 image: step.image.clone().unwrap_or_default(),
                 millicores: step.need.cores.as_millicores(),
+                reserved_millicores: attempt.reserved.cores.as_millicores(),
+                reserved_memory_bytes: attempt.reserved.memory.as_bytes(),
+                reserved_accelerators: attempt.reserved.accelerators.get(),
             });
         }
         let incarnation = vm.info.as_ref().map(|info| info.incarnation.clone());
@@ -85,6 +90,43 @@
         })
     }
 
+    /// Takes back attempts on a VM that were never ordered, if the VM's capacity has shrunk or
+    /// its availability zone was taken out of service since they were placed.
+    ///
+    /// Load pattern: the store is away for seconds, so that what was placed before waits for
+    /// its record, and the VM shrinks meanwhile.
+    fn withdraw_unsent(&mut self, name: &str) {
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        let Some(info) = &vm.info else {
+            return;
+        };
+        let is_closed = self.closed_zones.contains(&vm.zone);
+        let (unsent, sent): (Vec<_>, Vec<_>) = vm
+            .attempts
+            .iter()
+            .partition(|(_, attempt)| attempt.is_unsent());
+        let mut free = sent.iter().fold(info.capacity, |free, (_, attempt)| {
+            free.saturating_sub(&attempt.reserved)
+        });
+        let mut withdrawn = Vec::new();
+        for (key, attempt) in unsent {
+            if is_closed || !attempt.reserved.fits_in(&free) {
+                withdrawn.push(*key);
+            } else {
+                free = free.saturating_sub(&attempt.reserved);
+            }
+        }
+        let attempts: Vec<(AttemptKey, VmAttempt)> = withdrawn
+            .into_iter()
+            .filter_map(|key| vm.attempts.remove(&key).map(|attempt| (key, attempt)))
+            .collect();
+        for (key, attempt) in attempts {
+            self.requeue_task(key, &attempt, LossCause::Withdrawn);
+        }
+    }
+
     /// Returns how much headroom each best-effort image on a VM takes from each serving image
     /// there.
     fn interference(&self, name: &str) -> Vec<v1::PairGain> {
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Returns whether this leader placed the attempt and has never ordered it.
+    pub(crate) fn is_unsent(&self) -> bool {
+        self.placed_at != MonoTime::default() && self.first_sent_at.is_none()
+    }
+
     /// Records the status that a report lists for the attempt.
     ///
     /// Returns the time worked, scaled to full speed, and the progress in percent since the
--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -38,6 +38,8 @@
             .prop_map(|(worker, with_agent)| WorldEvent::Leave { worker, with_agent }),
         2 => (agent.clone(), any::<bool>())
             .prop_map(|(worker, on)| WorldEvent::FailAll { worker, on }),
+        4 => (agent.clone(), 0..=CAPACITY_TASKS as u64 / 3)
+            .prop_map(|(worker, tasks)| WorldEvent::Resize { worker, tasks }),
         6 => (1..60_usize).prop_map(rounds),
         16 => (
             1..160_usize,
@@ -102,6 +104,40 @@
     assert!(reason.contains(violation), "{reason}");
 }
 
+/// What was placed before the store went away starts once the store is back, by which time its
+/// VM may have shrunk.
+#[test]
+fn placement_that_waited_for_the_store_fits_its_vm() {
+    let mut world = World::new();
+    for _ in 0..2 {
+        world.apply(&WorldEvent::Submit {
+            long_running: false,
+        });
+    }
+    let away = |count| WorldEvent::Rounds {
+        count,
+        loss_percent: 0,
+        late_percent: 0,
+        cut_agent: None,
+        store_down: true,
+        seed: 1,
+    };
+    world.apply(&rounds(1));
+    world.apply(&WorldEvent::Submit {
+        long_running: false,
+    });
+    world.apply(&WorldEvent::Submit {
+        long_running: false,
+    });
+    world.apply(&rounds(1));
+    for worker in 0..3 {
+        world.apply(&WorldEvent::Resize { worker, tasks: 0 });
+    }
+    world.apply(&away(95));
+    world.apply(&rounds(20));
+    world.check().unwrap();
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
 
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -16,7 +16,7 @@
 use turmeric_types::{
     AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, SplitMixRandom, WallTime,
 };
-use worker::ModelWorker;
+use worker::{ModelWorker, TASK_MILLICORES, WORKER_MILLICORES};
 
 const LEASE: LeaseLimits = LeaseLimits::new(Duration::from_secs(4));
 
@@ -55,6 +55,8 @@
     Leave { worker: usize, with_agent: bool },
     /// A worker begins or stops to fail every attempt that it runs.
     FailAll { worker: usize, on: bool },
+    /// The capacity of a worker shrinks or grows to this many tasks while tasks run.
+    Resize { worker: usize, tasks: u64 },
     /// Rounds in which messages are lost, an agent is partitioned from the leaders, and orders
     /// are carried out seconds late.
     Rounds {
@@ -114,7 +116,7 @@
     let step = StepSpec {
         count: 3,
         need: ResourceSet::new(
-            CoreCount::from_millicores(2_000),
+            CoreCount::from_millicores(TASK_MILLICORES),
             MemorySize::new(1 << 30),
             AcceleratorCount::new(0),
         ),
@@ -168,9 +170,13 @@
             fault,
         };
         for worker in &mut world.workers {
-            worker.accepts_all = fault == Some(WorldFault::CapacityLie);
+            worker.lies = fault == Some(WorldFault::CapacityLie);
             worker.forgets_attempts = fault == Some(WorldFault::ForgetAttempts);
         }
+        // Two of the workers reject nothing for want of capacity.
+        for worker in &mut world.workers[1..] {
+            worker.accepts_all = true;
+        }
         for number in 0..names.len() {
             let agent = world.new_agent(number);
             world.agents.push(agent);
@@ -228,6 +234,10 @@
                 self.workers[*number].restart(now);
             }
             WorldEvent::Leave { worker, with_agent } => self.leave(*worker, *with_agent),
+            WorldEvent::Resize { worker, tasks } => {
+                let now = self.now;
+                self.workers[*worker].resize(*tasks, now);
+            }
             WorldEvent::FailAll { worker, on } => self.workers[*worker].fail_all = *on,
             WorldEvent::Rounds {
                 count,
@@ -490,6 +500,8 @@
                 prop_assert!(seen.insert(task), "{} runs in two places", task);
             }
             prop_assert!(!worker.is_overfilled(), "{} is overfilled", worker.name);
+            let starts = &worker.overfilling_starts;
+            prop_assert!(starts.is_empty(), "{starts:?}");
             let mut counts: BTreeMap<TaskName, u32> = BTreeMap::new();
             for task in worker.tasks() {
                 *counts.entry(task.first_of_step()).or_default() += 1;
@@ -517,6 +529,7 @@
         let now = self.now;
         for worker in &mut self.workers {
             worker.fail_all = false;
+            worker.resize(WORKER_MILLICORES / TASK_MILLICORES, now);
             if worker.has_left {
                 worker.restart(now);
             }
--- a/crates/turmeric-jobs/tests/world/worker.rs
+++ b/crates/turmeric-jobs/tests/world/worker.rs
@@ -15,6 +15,13 @@
 /// Longest lease that a worker accepts, in milliseconds.
 const LONGEST_LEASE: u64 = 4_100;
 
+/// Processors that a task uses, in thousandths.
+pub const TASK_MILLICORES: u64 = 2_000;
+
+/// After this time, in milliseconds, no start may rely on the capacity that a worker had before
+/// it shrank: the platform's contact bound and one heartbeat.
+const SHRINK_GRACE: u64 = 4_500;
+
 /// Work of a task, in milliseconds.
 pub const TASK_WORK: u64 = 1_500;
 
@@ -46,8 +53,16 @@
     pub fail_all: bool,
     /// It has left, and runs nothing until it restarts.
     pub has_left: bool,
+    /// Its processors, in thousandths, as its heartbeats state them.
+    pub millicores: u64,
+    /// Larger capacities that it had, each with the time until which starts may rely on it.
+    earlier: Vec<(u64, u64)>,
     /// It accepts every start, whatever its free capacity.
     pub accepts_all: bool,
+    /// Starts that it accepted beyond its capacity, with the tasks that ran already.
+    pub overfilling_starts: Vec<String>,
+    /// It reports twice its processors.
+    pub lies: bool,
     /// It starts attempts again that have ended.
     pub forgets_attempts: bool,
     /// Tasks that succeeded here, except those whose end was not recorded before the lease
@@ -70,7 +85,11 @@
             late: Vec::new(),
             fail_all: false,
             has_left: false,
+            millicores: WORKER_MILLICORES,
+            earlier: Vec::new(),
             accepts_all: false,
+            overfilling_starts: Vec::new(),
+            lies: false,
             forgets_attempts: false,
             succeeded: BTreeSet::new(),
         }
@@ -85,10 +104,10 @@
             service: "verdikt".to_owned(),
             is_draining: false,
             capacity: ResourceSet::new(
-                CoreCount::from_millicores(if self.accepts_all {
+                CoreCount::from_millicores(if self.lies {
                     WORKER_MILLICORES * 2
                 } else {
-                    WORKER_MILLICORES
+                    self.millicores
                 }),
                 MemorySize::new(64 << 30),
                 AcceleratorCount::new(0),
@@ -115,6 +134,22 @@
         self.has_left = false;
     }
 
+    /// Shrinks or grows to a capacity for this many tasks, while tasks run.
+    pub fn resize(&mut self, tasks: u64, now: u64) {
+        let millicores = tasks * TASK_MILLICORES;
+        if millicores < self.millicores {
+            self.earlier.push((self.millicores, now + SHRINK_GRACE));
+        }
+        self.millicores = millicores;
+    }
+
+    /// Returns the most processors that a start at `now` may rely on.
+    fn allowed_millicores(&self, now: u64) -> u64 {
+        let valid = self.earlier.iter().filter(|(_, until)| now <= *until);
+        let earlier = valid.map(|(millicores, _)| *millicores).max();
+        self.millicores.max(earlier.unwrap_or_default())
+    }
+
     /// Leaves, and terminates all that it runs.
     pub fn leave(&mut self) {
         self.running.clear();
@@ -164,7 +199,7 @@
             due
         };
         for (_, fence, order) in due {
-            if let Some(key) = self.carry_out(fence, &order, now) {
+            if let Some(key) = self.carry_out(fence, &order, now, true) {
                 started.push(key);
             }
         }
@@ -194,7 +229,13 @@
     }
 
     /// Carries out an order; returns the attempt that it started.
-    fn carry_out(&mut self, fence: u64, order: &Order, now: u64) -> Option<AttemptKey> {
+    fn carry_out(
+        &mut self,
+        fence: u64,
+        order: &Order,
+        now: u64,
+        is_late_call: bool,
+    ) -> Option<AttemptKey> {
         if fence < self.fence {
             return None;
         }
@@ -217,10 +258,20 @@
                 if self.running.contains_key(&key) || has_ended || is_late {
                     return None;
                 }
-                let used = self.running.len() as u64 * 2_000;
-                if used + 2_000 > WORKER_MILLICORES && !self.accepts_all {
+                let used = (self.running.len() as u64 + 1) * TASK_MILLICORES;
+                if used > self.millicores && !self.accepts_all {
                     return None;
                 }
+                // A start that is carried out late may rely on any earlier capacity.
+                let allowed = if is_late_call {
+                    WORKER_MILLICORES
+                } else {
+                    self.allowed_millicores(now)
+                };
+                if used > allowed {
+                    let text = format!("{} fills {} to {used} of {allowed}", key.task, self.name);
+                    self.overfilling_starts.push(text);
+                }
                 self.extend(*deadline, now);
                 let long_running = plan.latency_target_millis.is_some();
                 self.running.insert(
@@ -258,7 +309,7 @@
         if fence < self.fence {
             return (StartAnswer::Unknown, None);
         }
-        let started = self.carry_out(fence, &order, now);
+        let started = self.carry_out(fence, &order, now, false);
         let answer = if self.running.contains_key(&plan.key) {
             StartAnswer::Started
         } else {
@@ -285,7 +336,7 @@
         if fence < self.fence {
             return StopAnswer::Unknown;
         }
-        self.carry_out(fence, &order, now);
+        self.carry_out(fence, &order, now, false);
         StopAnswer::Accepted
     }
 
@@ -324,7 +375,7 @@
 
     /// Returns whether more attempts run than the worker has capacity for.
     pub fn is_overfilled(&self) -> bool {
-        self.running.len() as u64 * 2_000 > WORKER_MILLICORES
+        self.running.len() as u64 * TASK_MILLICORES > WORKER_MILLICORES
     }
 
     pub fn tasks(&self) -> BTreeSet<TaskName> {
