Count a silent loss against suspects, and forgive the neighbours of a culprit

Found by the model, whose workers now crash under the first task of some jobs, with lost messages, killed agents, cut-off agents and takeovers.

- A task crashed a sixth worker.
Its agent was killed while the worker was down and cut off afterwards, so the attempt was lost with its lease and nobody told of the crash.
A lost lease now counts against a task that is suspected already.
- A long-running job that shared its VMs with three crashing tasks was given up.
Once a task is proven to be to blame, its crashes no longer count towards those that had been running for a while beside it; tasks that were started together with it keep theirs, as both may be to blame.

A repeated report of one crash is counted once per incarnation.

--- a/crates/turmeric-jobs/src/crashes.rs
+++ b/crates/turmeric-jobs/src/crashes.rs
@@ -93,4 +93,11 @@
             CrashVerdict::Retry
         }
     }
+
+    /// Takes a crash back for which another task turned out to be to blame.
+    ///
+    /// Returns whether it had been counted.
+    pub fn forgive(&mut self, attempt: AttemptNumber) -> bool {
+        self.attempts.remove(&attempt)
+    }
 }
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -26,6 +26,7 @@
     AttemptKey, EstimateTable, HeadroomTable, JobCode, JobPhase, JobSpec, JobState, LeaseLimits,
     PolicySet, QueuePolicy, TaskName,
 };
+use crashes::CrashHistory;
 use moves::MoveReservation;
 use notes::EventList;
 use vm::{VmAttempt, VmState};
@@ -83,6 +84,9 @@
     /// Number of VMs, by ascending serving work, that the next round of consolidation passes
     /// over because the rounds before found no plan for them.
     consolidation_offset: usize,
+    crash_history: CrashHistory,
+    /// Jobs that fail with the next round of placement, since one of their tasks is given up.
+    given_up: BTreeSet<JobCode>,
     headroom: HeadroomTable,
     estimates: EstimateTable,
     headroom_saved_at: MonoTime,
@@ -127,6 +131,8 @@
             moves: BTreeMap::new(),
             consolidation_due: now,
             consolidation_offset: 0,
+            crash_history: CrashHistory::default(),
+            given_up: BTreeSet::new(),
             headroom: HeadroomTable::new(),
             estimates: EstimateTable::new(),
             headroom_saved_at: now,
--- a/crates/turmeric-jobs/src/scheduler/crashes.rs
+++ b/crates/turmeric-jobs/src/scheduler/crashes.rs
@@ -1,6 +1,6 @@
 //! Counts the crashes of endpoints towards the tasks that may have caused them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use turmeric_types::{MonoTime, WallTime};
@@ -11,7 +11,7 @@
 use super::vm::VmAttempt;
 use crate::{
     AttemptKey, BLAME_WINDOW, CrashEvidence, CrashVerdict, IncarnationCrash, JobPhase,
-    SHARED_WINDOW, weigh_crash,
+    SHARED_WINDOW, TaskName, weigh_crash,
 };
 
 /// A crash of an endpoint, as the leader learns of it.
@@ -60,40 +60,115 @@
     }
 }
 
+/// Most crashes of which the leader remembers which attempts they ended.
+const CRASH_HISTORY_LIMIT: usize = 256;
+
+/// The attempts that each of the last crashes ended.
+#[derive(Debug, Default)]
+pub(super) struct CrashHistory {
+    crashes: VecDeque<BTreeMap<AttemptKey, CrashEvidence>>,
+}
+
+impl CrashHistory {
+    fn add(&mut self, evidence: BTreeMap<AttemptKey, CrashEvidence>) {
+        if self.crashes.len() == CRASH_HISTORY_LIMIT {
+            self.crashes.pop_front();
+        }
+        self.crashes.push_back(evidence);
+    }
+
+    /// Returns the attempts of other tasks that crashes under a task ended, and that were
+    /// hardly to blame for them. Two tasks that were started together may both be to blame.
+    fn neighbours(&self, task: &TaskName) -> Vec<AttemptKey> {
+        let is_under = |crash: &&BTreeMap<AttemptKey, CrashEvidence>| {
+            crash.keys().any(|key| key.task == *task)
+        };
+        let neighbours = self.crashes.iter().filter(is_under).flatten();
+        neighbours
+            .filter(|(key, evidence)| key.task != *task && **evidence == CrashEvidence::Unclear)
+            .map(|(key, _)| *key)
+            .collect()
+    }
+}
+
 impl JobScheduler {
     /// Counts a crash towards the tasks that were running, and gives up those to blame.
     pub(super) fn record_crash(&mut self, name: &str, notice: &CrashNotice<'_>, wall: WallTime) {
-        for (key, evidence) in weigh_crash(&notice.ages()) {
-            if evidence == CrashEvidence::Unclear
-                && self.is_long_running(&key)
-                && notice.was_at_work(&key)
-            {
-                continue;
+        let mut weighed: Vec<(AttemptKey, CrashEvidence)> =
+            weigh_crash(&notice.ages()).into_iter().collect();
+        weighed.retain(|(key, evidence)| {
+            *evidence != CrashEvidence::Unclear
+                || !self.is_long_running(key)
+                || !notice.was_at_work(key)
+        });
+        if weighed.is_empty() {
+            return;
+        }
+        self.crash_history.add(weighed.iter().copied().collect());
+        // Once a task is proven to be to blame, the crash says nothing of the others.
+        weighed.sort_by_key(|(_, evidence)| *evidence != CrashEvidence::Alone);
+        for (key, evidence) in weighed {
+            let is_proven =
+                self.record_task_crash(name, key, evidence) && evidence == CrashEvidence::Alone;
+            if is_proven {
+                self.forgive_neighbours(&key.task);
+                break;
             }
-            self.record_task_crash(name, key, evidence, wall);
         }
+        self.finish_given_up(wall);
     }
 
-    fn record_task_crash(
-        &mut self,
-        name: &str,
-        key: AttemptKey,
-        evidence: CrashEvidence,
-        wall: WallTime,
-    ) {
-        let Some(job) = self.jobs.get_mut(&key.task.job) else {
-            return;
-        };
-        if job.phase.is_terminal() {
-            return;
+    /// Counts lost leases as crashes for tasks that have crashed an endpoint before, as far as
+    /// anybody knows: nobody was there to tell what became of this one.
+    pub(super) fn record_silent_loss(&mut self, name: &str, lost: &[(AttemptKey, VmAttempt)]) {
+        for (key, attempt) in lost {
+            let job = self.jobs.get(&key.task.job);
+            let state = job.and_then(|job| job.tasks.get(&key.task));
+            if state.is_some_and(|state| state.crashes.is_suspect) && !attempt.is_unsent() {
+                self.record_task_crash(name, *key, CrashEvidence::Unclear);
+            }
+        }
+    }
+
+    /// Fails the jobs of tasks that were given up since the last round of placement.
+    pub(super) fn finish_given_up(&mut self, wall: WallTime) {
+        for code in std::mem::take(&mut self.given_up) {
+            let job = self.jobs.get(&code);
+            if job.is_some_and(|job| !job.phase.is_terminal()) {
+                self.finish_job(code, JobPhase::Failed, wall);
+            }
+        }
+    }
+
+    /// Takes back the crashes that were counted towards the neighbours of a task to blame.
+    fn forgive_neighbours(&mut self, task: &TaskName) {
+        for key in self.crash_history.neighbours(task) {
+            let job = self.jobs.get_mut(&key.task.job);
+            let job = job.filter(|job| !job.phase.is_terminal());
+            let state = job.and_then(|job| job.tasks.get_mut(&key.task));
+            if state.is_some_and(|state| state.crashes.forgive(key.attempt)) {
+                self.touch(key.task.job);
+            }
         }
+    }
+
+    /// Counts a crash towards one task; returns whether the task is given up.
+    fn record_task_crash(&mut self, name: &str, key: AttemptKey, evidence: CrashEvidence) -> bool {
+        let job = self.jobs.get_mut(&key.task.job);
+        let Some(job) = job.filter(|job| !job.phase.is_terminal()) else {
+            return false;
+        };
         let Some(state) = job.tasks.get_mut(&key.task).filter(|state| !state.is_done) else {
-            return;
+            return false;
         };
         let verdict = state.crashes.record(key.attempt, evidence);
         let crashes = state.crashes.attempts.len();
         if verdict == CrashVerdict::Known {
-            return;
+            return false;
+        }
+        let is_given_up = verdict == CrashVerdict::GiveUp;
+        if is_given_up {
+            self.given_up.insert(key.task.job);
         }
         self.touch(key.task.job);
         self.events.push(JobEvent::Crashed {
@@ -101,11 +176,9 @@
             vm: name.to_owned(),
             evidence,
             crashes,
-            is_given_up: verdict == CrashVerdict::GiveUp,
+            is_given_up,
         });
-        if verdict == CrashVerdict::GiveUp {
-            self.finish_job(key.task.job, JobPhase::Failed, wall);
-        }
+        is_given_up
     }
 
     fn is_long_running(&self, key: &AttemptKey) -> bool {
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -347,11 +347,23 @@
             report: report.crash.as_ref(),
             at,
         };
+        // An agent repeats the news of a crash until it hears from the leader.
+        let incarnation = report.crash.as_ref().map(|crash| &crash.incarnation);
+        let Some(vm) = self.vms.get_mut(&report.vm) else {
+            return;
+        };
+        if lost.is_empty() && vm.last_crash.as_ref() == incarnation {
+            return;
+        }
+        if let Some(incarnation) = incarnation {
+            vm.last_crash = Some(incarnation.clone());
+        }
         self.record_crash(&report.vm, &notice, wall);
     }
 
     fn lose_all(&mut self, name: &str) {
-        self.lose_where(name, LossCause::LeaseExpired, |_, _| true);
+        let lost = self.lose_where(name, LossCause::LeaseExpired, |_, _| true);
+        self.record_silent_loss(name, &lost);
     }
 
     /// Removes the attempts for which `is_lost` holds and returns their tasks to the queue.
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -71,6 +71,7 @@
     ///
     /// Returns how many tasks were placed.
     pub fn place(&mut self, now: MonoTime, wall: WallTime) -> usize {
+        self.finish_given_up(wall);
         if self.is_releasing {
             return 0;
         }
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -6,8 +6,8 @@
 use turmeric_types::{CoreCount, MonoTime, ResourceSet};
 
 use crate::{
-    AttemptKey, AttemptLocation, AttemptStatus, EndpointInfo, HeadroomTable, JobCode,
-    ServingHeadroom, StepSpec, TaskName, VmCapacity,
+    AttemptKey, AttemptLocation, AttemptStatus, EndpointIncarnation, EndpointInfo, HeadroomTable,
+    JobCode, ServingHeadroom, StepSpec, TaskName, VmCapacity,
 };
 
 /// No task is placed on a VM whose agent has sent no report for this long; agents report
@@ -148,6 +148,8 @@
 pub(crate) struct VmState {
     pub(crate) zone: String,
     pub(crate) info: Option<EndpointInfo>,
+    /// The last incarnation of which the agent reported that it crashed.
+    pub(crate) last_crash: Option<EndpointIncarnation>,
     /// The endpoint's earlier incarnation was draining when it was last heard of.
     pub(crate) was_draining: bool,
     /// The agent knows this leader and is synchronized with the endpoint's current
@@ -186,6 +188,7 @@
         Self {
             zone: String::new(),
             info: None,
+            last_crash: None,
             was_draining: false,
             is_ready: false,
             unresponsive_since: None,
--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -29,6 +29,7 @@
     let agent = 0..3_usize;
     prop_oneof![
         8 => any::<bool>().prop_map(|long_running| WorldEvent::Submit { long_running }),
+        2 => Just(WorldEvent::SubmitDeadly),
         2 => Just(WorldEvent::Cancel),
         2 => entry.clone().prop_map(WorldEvent::TakeOver),
         3 => entry.prop_map(WorldEvent::TakeOverUnseen),
@@ -109,11 +110,9 @@
 #[test]
 fn placement_that_waited_for_the_store_fits_its_vm() {
     let mut world = World::new();
-    for _ in 0..2 {
-        world.apply(&WorldEvent::Submit {
-            long_running: false,
-        });
-    }
+    let submit = WorldEvent::Submit {
+        long_running: false,
+    };
     let away = |count| WorldEvent::Rounds {
         count,
         loss_percent: 0,
@@ -122,14 +121,11 @@
         store_down: true,
         seed: 1,
     };
-    world.apply(&rounds(1));
-    world.apply(&WorldEvent::Submit {
-        long_running: false,
-    });
-    world.apply(&WorldEvent::Submit {
-        long_running: false,
-    });
-    world.apply(&rounds(1));
+    for _ in 0..2 {
+        world.apply(&submit);
+        world.apply(&submit);
+        world.apply(&rounds(1));
+    }
     for worker in 0..3 {
         world.apply(&WorldEvent::Resize { worker, tasks: 0 });
     }
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -9,14 +9,14 @@
 use proptest::prelude::*;
 use proptest::test_runner::TestCaseError;
 use turmeric_jobs::{
-    AttemptKey, AttemptTable, ClockReading, CommitPlan, JobCode, JobScheduler, JobSpec,
+    AttemptKey, AttemptTable, ClockReading, CommitPlan, JobCode, JobPhase, JobScheduler, JobSpec,
     LeaderTimeouts, LeaseLimits, QueuePolicy, StepSpec, TaskName, VmReport, WorkerCommand,
 };
 use turmeric_schema::{Message, v1};
 use turmeric_types::{
     AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, SplitMixRandom, WallTime,
 };
-use worker::{ModelWorker, TASK_MILLICORES, WORKER_MILLICORES};
+use worker::{DEADLY_TEXT, ModelWorker, TASK_MILLICORES, WORKER_MILLICORES};
 
 const LEASE: LeaseLimits = LeaseLimits::new(Duration::from_secs(4));
 
@@ -29,6 +29,12 @@
 /// Failed attempts after which a task fails in the simulation.
 const ATTEMPT_LIMIT: usize = 4;
 
+/// Crashes under a task that the platform tolerates: it may be started twice more after three.
+const CRASH_LIMIT: usize = 5;
+
+/// Crashes under a task after which it may be given up.
+const GIVE_UP_LIMIT: usize = 2;
+
 /// Most tasks of a long-running step on one VM.
 const VM_LIMIT: u32 = 2;
 
@@ -41,6 +47,8 @@
     Submit { long_running: bool },
     /// A caller submits a long-running job that allows two of its tasks on a VM.
     SubmitLimited,
+    /// A caller submits a job whose first task crashes each worker that starts it.
+    SubmitDeadly,
     /// The newest job is cancelled.
     Cancel,
     /// An entry takes over leadership, and the earlier leader stops.
@@ -107,6 +115,8 @@
     next_job: u64,
     next_fence: u64,
     recorded_done: BTreeSet<TaskName>,
+    /// Crashes of workers under each task.
+    crashes: BTreeMap<TaskName, usize>,
     /// Violations of invariants that `check` cannot see in the current state.
     violations: Vec<String>,
     fault: Option<WorldFault>,
@@ -166,6 +176,7 @@
             next_job: 0,
             next_fence: 1,
             recorded_done: BTreeSet::new(),
+            crashes: BTreeMap::new(),
             violations: Vec::new(),
             fault,
         };
@@ -221,6 +232,12 @@
                 spec.steps[0].vm_limit = Some(VM_LIMIT);
                 self.store.intake.insert(JobCode::new(self.next_job), spec);
             }
+            WorldEvent::SubmitDeadly => {
+                self.next_job += 1;
+                let mut spec = spec(self.now, false);
+                spec.text = DEADLY_TEXT.to_owned();
+                self.store.intake.insert(JobCode::new(self.next_job), spec);
+            }
             WorldEvent::Cancel => {
                 if self.next_job > 0 {
                     self.store.cancelled.insert(JobCode::new(self.next_job));
@@ -401,6 +418,16 @@
     }
 
     fn record_starts(&mut self, started: &[AttemptKey]) {
+        for worker in &mut self.workers {
+            for task in worker.crashed_by.drain(..) {
+                let crashes = self.crashes.entry(task).or_default();
+                *crashes += 1;
+                if *crashes > CRASH_LIMIT {
+                    self.violations
+                        .push(format!("{task} has crashed {crashes} workers"));
+                }
+            }
+        }
         for key in started {
             let is_completed = self
                 .workers
@@ -461,6 +488,12 @@
                     self.violations.push(format!("{code} failed too often"));
                 }
             }
+            let has_cause = progress.tasks.iter().any(|task| {
+                task.failed_runs.len() >= ATTEMPT_LIMIT || task.crashed_runs.len() >= GIVE_UP_LIMIT
+            });
+            if JobPhase::read(progress.phase) == Some(JobPhase::Failed) && !has_cause {
+                self.violations.push(format!("{code} failed without cause"));
+            }
             self.store.progress.insert(*code, value.clone());
         }
         for code in &plan.forgotten {
@@ -482,7 +515,8 @@
             return;
         }
         let vm = format!("w{number}");
-        let report = agent.table.report(&vm, "morava-a", now).write();
+        let mut report = agent.table.report(&vm, "morava-a", now).write();
+        report.unresponsive = self.workers[number].down_until.is_some();
         leader.handle_report(VmReport::read(report).unwrap(), now, wall);
         if now.since(leader.confirmed_at()) > TERMS.confirmation_timeout {
             return;
--- a/crates/turmeric-jobs/tests/world/worker.rs
+++ b/crates/turmeric-jobs/tests/world/worker.rs
@@ -22,6 +22,12 @@
 /// it shrank: the platform's contact bound and one heartbeat.
 const SHRINK_GRACE: u64 = 4_500;
 
+/// Text of a job whose first task crashes each worker that starts it.
+pub const DEADLY_TEXT: &str = "deadly";
+
+/// Time for which a crashed worker is down, in milliseconds.
+const CRASH_DURATION: u64 = 3_000;
+
 /// Work of a task, in milliseconds.
 pub const TASK_WORK: u64 = 1_500;
 
@@ -53,6 +59,10 @@
     pub fail_all: bool,
     /// It has left, and runs nothing until it restarts.
     pub has_left: bool,
+    /// Until when it is down after a crash.
+    pub down_until: Option<u64>,
+    /// Tasks under which it crashed, until the simulation has taken them.
+    pub crashed_by: Vec<TaskName>,
     /// Its processors, in thousandths, as its heartbeats state them.
     pub millicores: u64,
     /// Larger capacities that it had, each with the time until which starts may rely on it.
@@ -85,6 +95,8 @@
             late: Vec::new(),
             fail_all: false,
             has_left: false,
+            down_until: None,
+            crashed_by: Vec::new(),
             millicores: WORKER_MILLICORES,
             earlier: Vec::new(),
             accepts_all: false,
@@ -132,6 +144,7 @@
         self.next_end = 1;
         self.late.clear();
         self.has_left = false;
+        self.down_until = None;
     }
 
     /// Shrinks or grows to a capacity for this many tasks, while tasks run.
@@ -150,6 +163,13 @@
         self.millicores.max(earlier.unwrap_or_default())
     }
 
+    /// Crashes under a task; it is back after some seconds with nothing running.
+    fn crash(&mut self, task: TaskName, now: u64) {
+        self.leave();
+        self.down_until = Some(now + CRASH_DURATION);
+        self.crashed_by.push(task);
+    }
+
     /// Leaves, and terminates all that it runs.
     pub fn leave(&mut self) {
         self.running.clear();
@@ -192,6 +212,9 @@
 
     /// Advances work, expired leases and late orders to `now`; returns the attempts started late.
     pub fn advance(&mut self, from: u64, now: u64) -> Vec<AttemptKey> {
+        if self.down_until.is_some_and(|until| now >= until) {
+            self.restart(now);
+        }
         let mut started = Vec::new();
         let due: Vec<(u64, u64, Order)> = {
             let (due, rest) = self.late.drain(..).partition(|(at, _, _)| *at <= now);
@@ -269,7 +292,10 @@
                     self.allowed_millicores(now)
                 };
                 if used > allowed {
-                    let text = format!("{} fills {} to {used} of {allowed}", key.task, self.name);
+                    let text = format!(
+                        "{} is overfilled by {}: {used} of {allowed}",
+                        self.name, key.task
+                    );
                     self.overfilling_starts.push(text);
                 }
                 self.extend(*deadline, now);
@@ -281,6 +307,9 @@
                         long_running,
                     },
                 );
+                if plan.text == DEADLY_TEXT && key.task.step == 0 && key.task.index == 0 {
+                    self.crash(key.task, now);
+                }
                 Some(key)
             }
         }
@@ -310,7 +339,9 @@
             return (StartAnswer::Unknown, None);
         }
         let started = self.carry_out(fence, &order, now, false);
-        let answer = if self.running.contains_key(&plan.key) {
+        let answer = if self.down_until.is_some() {
+            StartAnswer::Unknown
+        } else if self.running.contains_key(&plan.key) {
             StartAnswer::Started
         } else {
             StartAnswer::Rejected
