Take the capacity of a restarted endpoint from its own heartbeats

Cause: the agent often learns of a new incarnation from the worker's lists first, and went on with the capacity and labels of the earlier one. It then ignored all heartbeats until their numbers, which start anew, had passed the last one: the new capacity, and draining too, for as long as the earlier incarnation had lived. Class: state of one incarnation used in the next.

Now nothing is known of a new incarnation's capacity and labels before its first heartbeat, and the numbers are compared within one incarnation.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -106,11 +106,13 @@
         let is_draining = heartbeat.info.is_draining;
         let incarnation = heartbeat.info.incarnation.clone();
         let is_new = core.table.update_endpoint(heartbeat.info);
+        if is_new {
+            core.begin_incarnation();
+        }
         if core.table.incarnation() == Some(&incarnation) {
             core.heartbeat_sequence = heartbeat.sequence;
         }
         if is_new {
-            core.begin_incarnation();
             info!("endpoint started a new incarnation", kv: { life = incarnation.to_string() });
         }
         drop(core);
@@ -139,6 +141,8 @@
 impl AgentCore {
     /// Discards the state of the endpoint's earlier incarnation.
     pub(crate) fn begin_incarnation(&mut self) {
+        // The numbers of heartbeats start anew with each incarnation.
+        self.heartbeat_sequence = 0;
         self.reduced_shares.clear();
         self.headroom = None;
         self.neighbours = NeighbourMeasurements::default();
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -10,7 +10,7 @@
     WorkerCommand, WorkerLists,
 };
 use turmeric_platform::{HoldAnswer, HoldRequest, WorkerAnswer};
-use turmeric_types::MonoTime;
+use turmeric_types::{MonoTime, ResourceSet};
 
 use super::agent::{AgentCore, AgentState};
 use super::metrics::count;
@@ -212,6 +212,9 @@
                 started_at_millis,
                 ..incarnation
             },
+            // What it has now is not known before its first heartbeat.
+            capacity: ResourceSet::default(),
+            labels: Vec::new(),
             ..info
         });
         if is_new {
