--- a/crates/turmeric-ctl/src/command/explain.rs
+++ b/crates/turmeric-ctl/src/command/explain.rs
@@ -237,13 +237,26 @@
     fn cause_of_end(&self, over: &LogLine) -> String {
         let (age, objective) = (over.number("age_ms"), over.number("objective_ms"));
         match over.text("phase") {
-            "failed" => format!("failed: {} attempts failed", over.number("failures")),
+            "failed" => self.failure(over),
             "cancelled" => "cancelled by its caller".to_owned(),
             _ if age <= objective => "done in time".to_owned(),
             _ => format!("late by {} ms: {}", age - objective, self.delays(objective)),
         }
     }
 
+    /// Tells why a job failed.
+    fn failure(&self, over: &LogLine) -> String {
+        let is_given_up = |line: &&LogLine| line.fields.get("given_up") == Some(&Value::Bool(true));
+        match self.own.iter().find(is_given_up) {
+            Some(line) => format!(
+                "failed: {} endpoints crashed under {}",
+                line.number("crashes"),
+                line.text("task")
+            ),
+            None => format!("failed: {} attempts failed", over.number("failures")),
+        }
+    }
+
     /// Tells what kept a job.
     fn delays(&self, objective: u64) -> String {
         let mut counts: BTreeMap<String, u64> = BTreeMap::new();
--- a/crates/turmeric-ctl/tests/explain.rs
+++ b/crates/turmeric-ctl/tests/explain.rs
@@ -70,6 +70,14 @@
     vec![job_line(9, "job over", "\"phase\":\"failed\",\"age_ms\":8,\"objective_ms\":9,\"failures\":4")],
     "failed: 4 attempts failed"
 )]
+#[case::given_up(
+    vec![
+        line(8, "entry-1", "endpoint crashed under a task",
+            &format!("\"task\":\"{JOB}.0.0.3\",\"run\":2,\"crashes\":2,\"given_up\":true")),
+        job_line(9, "job over", "\"phase\":\"failed\",\"age_ms\":8,\"objective_ms\":9,\"failures\":0"),
+    ],
+    &format!("failed: 2 endpoints crashed under {JOB}.0.0.3")
+)]
 fn the_last_line_names_the_cause(#[case] logs: Vec<String>, #[case] cause: &str) {
     let output = explain(JOB, &logs.concat(), &[]);
     let text = String::from_utf8(output.stdout).unwrap();
