--- a/crates/turmeric-daemon/src/hosted/decision_log.rs
+++ b/crates/turmeric-daemon/src/hosted/decision_log.rs
@@ -73,14 +73,14 @@
                 vm,
                 evidence,
                 crashes,
-                is_given_up,
+                is_fatal,
             } => {
-                let outcome = if is_given_up { "given_up" } else { "retried" };
+                let outcome = if is_fatal { "given_up" } else { "retried" };
                 count(&metrics.attempts, "crashed", outcome);
                 warn!("endpoint crashed under a task", kv: {
                     task = key.task.to_string(), run = key.attempt.get(), vm = vm,
                     evidence = evidence_label(evidence), crashes = crashes,
-                    given_up = is_given_up
+                    given_up = is_fatal
                 });
             }
             JobEvent::Reachability {
@@ -192,6 +192,7 @@
     match evidence {
         CrashEvidence::Alone => "alone",
         CrashEvidence::Shared => "shared",
+        CrashEvidence::Earlier => "earlier",
         CrashEvidence::Unclear => "unclear",
     }
 }
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -4,16 +4,20 @@
 //! refused only once a stop of it was answered and a later list of the worker shows it
 //! neither running nor ended: a stopped attempt can never start.
 
+mod lists;
+mod orders;
+mod tracked;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use turmeric_schema::v1;
-use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet};
+use turmeric_types::{CoreCount, MonoTime, ResourceSet};
 
 use crate::{
     AttemptEnd, AttemptKey, AttemptStatus, EndpointIncarnation, EndpointInfo, IncarnationCrash,
-    InterferenceTable, LeaseGrant, NameError, VmReport, read_key,
+    InterferenceTable, LeaseGrant, VmReport,
 };
+use tracked::{AttemptState, FreeCapacity, TrackedAttempt};
 
 /// Age at which orders no longer start attempts, because a zone may have been taken out of
 /// service since. The platform's bound is 5 s, of which 3 s are left for the other hops.
@@ -90,59 +94,6 @@
     pub ends: Vec<AttemptEnd>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AttemptState {
-    /// A start is due.
-    StartDue,
-    /// A start was sent and not answered yet.
-    Starting,
-    /// The worker runs the attempt, as far as the agent knows.
-    Running,
-    /// A stop is due.
-    StopDue,
-    /// A stop was sent and not answered yet.
-    Stopping,
-    /// A stop was answered; lists requested at `mark` or later are final.
-    Stopped { mark: u64 },
-}
-
-#[derive(Clone, Debug)]
-struct TrackedAttempt {
-    state: AttemptState,
-    plan: Option<StartPlan>,
-    /// A start was sent, so the worker may have the attempt.
-    was_sent: bool,
-    /// The worker may have carried out a start.
-    may_have_run: bool,
-    retry_at: MonoTime,
-    /// Change counter when the attempt became running.
-    changed_at: u64,
-    status: AttemptStatus,
-}
-
-/// Capacity of a worker that no attempt reserves.
-struct FreeCapacity {
-    left: ResourceSet,
-    /// The attempts reserve more than the capacity.
-    is_exceeded: bool,
-}
-
-impl FreeCapacity {
-    fn take(&mut self, reserved: &ResourceSet) {
-        self.is_exceeded |= !reserved.fits_in(&self.left);
-        self.left = self.left.saturating_sub(reserved);
-    }
-
-    /// Returns whether an attempt may be started. One that was sent before is accounted for.
-    fn can_start(&self, attempt: &TrackedAttempt, plan: &StartPlan) -> bool {
-        if attempt.was_sent {
-            !self.is_exceeded
-        } else {
-            plan.reserved.fits_in(&self.left)
-        }
-    }
-}
-
 /// The attempts of one worker, as known to its agent.
 #[derive(Debug, Default)]
 pub struct AttemptTable {
@@ -259,13 +210,13 @@
         let may_have_run = |attempt: &TrackedAttempt| {
             attempt.may_have_run || attempt.state == AttemptState::Starting
         };
-        let attempts = self.attempts.iter();
+        let running = self.attempts.iter();
+        let running = running.filter(|(_, attempt)| may_have_run(attempt));
+        let unconfirmed = running.clone().filter(|(_, attempt)| !attempt.is_confirmed);
         self.crash = Some(IncarnationCrash {
             incarnation: info.incarnation.clone(),
-            attempts: attempts
-                .filter(|(_, attempt)| may_have_run(attempt))
-                .map(|(key, _)| *key)
-                .collect(),
+            attempts: running.map(|(key, _)| *key).collect(),
+            unconfirmed: unconfirmed.map(|(key, _)| *key).collect(),
         });
     }
 
@@ -314,108 +265,6 @@
         self.attempts.len()
     }
 
-    /// Applies orders of a leader.
-    ///
-    /// Returns whether the orders were applied. Orders of an earlier epoch or for another
-    /// incarnation of the endpoint are ignored.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`NameError`] if an order does not name a task; no order is applied then.
-    pub fn apply_orders(
-        &mut self,
-        orders: &v1::VmOrders,
-        now: MonoTime,
-    ) -> Result<bool, NameError> {
-        let starts = orders
-            .starts
-            .iter()
-            .map(read_start)
-            .collect::<Result<Vec<_>, _>>()?;
-        let keep = orders
-            .keep
-            .iter()
-            .map(|key| read_key(Some(key)))
-            .collect::<Result<BTreeSet<_>, _>>()?;
-        if orders.epoch < self.epoch {
-            return Ok(false);
-        }
-        self.epoch = orders.epoch;
-        self.since_store_answer = Duration::from_millis(orders.store_silence_millis);
-        let is_present = self.incarnation().is_some_and(|incarnation| {
-            incarnation.endpoint == orders.endpoint && incarnation.started_at_millis == orders.born
-        });
-        if !is_present || !self.is_synced {
-            return Ok(false);
-        }
-        self.applied_orders = orders.sequence;
-        // The orders are for the current incarnation, so the leader knows how the last one ended.
-        self.crash = None;
-        for pair in &orders.gains {
-            let value = f64::from(pair.gain_permille) / 1000.0;
-            let (best_effort, serving) = (pair.filling.clone(), pair.serving.clone());
-            self.interferences.set(best_effort, serving, value);
-        }
-        let reported_at = MonoTime::from_millis(orders.stamp_millis);
-        if self
-            .grant
-            .is_none_or(|grant| grant.reported_at < reported_at)
-        {
-            self.grant = Some(LeaseGrant { reported_at });
-        }
-        self.recorded_end = self.recorded_end.max(orders.recorded_end);
-        self.ends = self.ends.split_off(&(self.recorded_end + 1));
-        self.refused.retain(|key| keep.contains(key));
-        self.drop_revoked(&keep, now);
-        for plan in starts {
-            if keep.contains(&plan.key) {
-                self.add_attempt(plan, now);
-            }
-        }
-        Ok(true)
-    }
-
-    fn drop_revoked(&mut self, keep: &BTreeSet<AttemptKey>, now: MonoTime) {
-        self.attempts.retain(|key, attempt| {
-            let is_kept = keep.contains(key);
-            is_kept || attempt.was_sent || attempt.state != AttemptState::StartDue
-        });
-        for (key, attempt) in &mut self.attempts {
-            let is_stoppable = matches!(
-                attempt.state,
-                AttemptState::StartDue | AttemptState::Starting | AttemptState::Running
-            );
-            if !keep.contains(key) && is_stoppable {
-                attempt.state = AttemptState::StopDue;
-                attempt.retry_at = now;
-            }
-        }
-    }
-
-    fn add_attempt(&mut self, plan: StartPlan, now: MonoTime) {
-        let key = plan.key;
-        let has_ended = self.ends.values().any(|end| end.key == key);
-        if self.attempts.contains_key(&key) || self.refused.contains(&key) || has_ended {
-            return;
-        }
-        let status = AttemptStatus {
-            key,
-            checkpoint: String::new(),
-            percent: 0,
-            pace: FULL_PACE,
-        };
-        let attempt = TrackedAttempt {
-            state: AttemptState::StartDue,
-            plan: Some(plan),
-            was_sent: false,
-            may_have_run: false,
-            retry_at: now,
-            changed_at: 0,
-            status,
-        };
-        self.attempts.insert(key, attempt);
-    }
-
     /// Returns the capacity that is left by all attempts that may be at the worker.
     fn free_capacity(&self) -> FreeCapacity {
         let info = self.endpoint_info.as_ref();
@@ -448,7 +297,9 @@
         let mut commands = Vec::new();
         let mut refused = Vec::new();
         for (key, attempt) in &mut self.attempts {
-            if now < attempt.retry_at {
+            let is_waiting =
+                attempt.state == AttemptState::StartDue && attempt.unanswered_at.is_some();
+            if now < attempt.retry_at || is_waiting {
                 continue;
             }
             match (attempt.state, &attempt.plan) {
@@ -496,6 +347,7 @@
         if attempt.state != AttemptState::Starting {
             return;
         }
+        attempt.is_confirmed |= answer == StartAnswer::Started;
         attempt.may_have_run |= matches!(answer, StartAnswer::Started | StartAnswer::Unknown);
         match answer {
             StartAnswer::Started => {
@@ -504,6 +356,7 @@
             }
             StartAnswer::Rejected => attempt.state = AttemptState::StopDue,
             StartAnswer::NotSent | StartAnswer::Unknown => {
+                attempt.unanswered_at = (answer == StartAnswer::Unknown).then_some(changes);
                 attempt.state = AttemptState::StartDue;
                 attempt.retry_at = now.after(RETRY_INTERVAL);
             }
@@ -529,100 +382,6 @@
         }
     }
 
-    /// Returns the number of changes so far, which marks the state that a request for the
-    /// worker's lists is sent in; pass it to [`Self::apply_lists`] with the answer.
-    pub fn list_mark(&self) -> u64 {
-        self.changes
-    }
-
-    /// Applies lists of the current incarnation that were requested when [`Self::list_mark`]
-    /// returned `mark`.
-    ///
-    /// Returns whether something changed that must be reported to the leader.
-    pub fn apply_lists(&mut self, mark: u64, lists: WorkerLists) -> bool {
-        let mut has_changes = false;
-        for end in lists.ends {
-            if end.number <= self.recorded_end || self.ends.contains_key(&end.number) {
-                continue;
-            }
-            self.attempts.remove(&end.key);
-            self.refused.remove(&end.key);
-            self.ends.insert(end.number, end);
-            has_changes = true;
-        }
-        let listed: BTreeSet<AttemptKey> = lists.running.iter().map(|status| status.key).collect();
-        for status in lists.running {
-            has_changes |= self.apply_status(status);
-        }
-        self.expects_stale_attempts = false;
-        has_changes | self.drop_unlisted(mark, &listed)
-    }
-
-    fn apply_status(&mut self, status: AttemptStatus) -> bool {
-        let key = status.key;
-        if self.ends.values().any(|end| end.key == key) {
-            return false;
-        }
-        if let Some(attempt) = self.attempts.get_mut(&key) {
-            attempt.status = AttemptStatus {
-                pace: attempt.status.pace,
-                ..status
-            };
-            attempt.was_sent = true;
-            attempt.may_have_run = true;
-            if matches!(
-                attempt.state,
-                AttemptState::StartDue | AttemptState::Starting
-            ) {
-                attempt.state = AttemptState::Running;
-                attempt.changed_at = self.changes;
-            }
-            return false;
-        }
-        // The attempt was started by an earlier agent, or by a call carried out late.
-        self.refused.remove(&key);
-        let attempt = TrackedAttempt {
-            state: if self.expects_stale_attempts {
-                AttemptState::StopDue
-            } else {
-                AttemptState::Running
-            },
-            plan: None,
-            was_sent: true,
-            may_have_run: true,
-            retry_at: MonoTime::default(),
-            changed_at: self.changes,
-            status,
-        };
-        self.attempts.insert(key, attempt);
-        true
-    }
-
-    /// Drops or stops attempts that a list requested at `mark` should contain but doesn't.
-    ///
-    /// Returns whether any attempt was dropped.
-    fn drop_unlisted(&mut self, mark: u64, listed: &BTreeSet<AttemptKey>) -> bool {
-        let mut terminated = Vec::new();
-        for (key, attempt) in &mut self.attempts {
-            if listed.contains(key) {
-                continue;
-            }
-            match attempt.state {
-                AttemptState::Stopped { mark: stopped } if mark >= stopped => terminated.push(*key),
-                // An attempt that is missing is stopped, so that it can't start again.
-                AttemptState::Running if mark >= attempt.changed_at && attempt.changed_at > 0 => {
-                    attempt.state = AttemptState::StopDue;
-                }
-                _ => {}
-            }
-        }
-        for key in &terminated {
-            self.attempts.remove(key);
-            self.refused.insert(*key);
-        }
-        !terminated.is_empty()
-    }
-
     /// Records the pace at which an attempt may work, in percent of its full speed.
     pub fn set_pace(&mut self, key: &AttemptKey, percent: u32) {
         if let Some(attempt) = self.attempts.get_mut(key) {
@@ -667,21 +426,3 @@
         }
     }
 }
-
-fn read_start(order: &v1::StartOrder) -> Result<StartPlan, NameError> {
-    Ok(StartPlan {
-        key: read_key(order.key.as_ref())?,
-        text: order.text.clone(),
-        checkpoint: order.checkpoint.clone(),
-        is_best_effort: order.fills,
-        latency_target_millis: (order.latency_target_millis > 0)
-            .then_some(order.latency_target_millis),
-        image: order.image.clone(),
-        cores: CoreCount::from_millicores(order.millicores),
-        reserved: ResourceSet::new(
-            CoreCount::from_millicores(order.reserved_millicores),
-            MemorySize::new(order.reserved_memory_bytes),
-            AcceleratorCount::new(order.reserved_accelerators),
-        ),
-    })
-}
--- /dev/null
+++ b/crates/turmeric-jobs/src/attempts/orders.rs
@@ -0,0 +1,135 @@
+//! Applies the orders of a leader.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use turmeric_schema::v1;
+use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet};
+
+use super::tracked::{AttemptState, TrackedAttempt};
+use super::{AttemptTable, FULL_PACE, StartPlan};
+use crate::{AttemptKey, AttemptStatus, LeaseGrant, NameError, read_key};
+
+impl AttemptTable {
+    /// Applies orders of a leader.
+    ///
+    /// Returns whether the orders were applied. Orders of an earlier epoch or for another
+    /// incarnation of the endpoint are ignored.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NameError`] if an order does not name a task; no order is applied then.
+    pub fn apply_orders(
+        &mut self,
+        orders: &v1::VmOrders,
+        now: MonoTime,
+    ) -> Result<bool, NameError> {
+        let starts = orders
+            .starts
+            .iter()
+            .map(read_start)
+            .collect::<Result<Vec<_>, _>>()?;
+        let keep = orders
+            .keep
+            .iter()
+            .map(|key| read_key(Some(key)))
+            .collect::<Result<BTreeSet<_>, _>>()?;
+        if orders.epoch < self.epoch {
+            return Ok(false);
+        }
+        self.epoch = orders.epoch;
+        self.since_store_answer = Duration::from_millis(orders.store_silence_millis);
+        let is_present = self.incarnation().is_some_and(|incarnation| {
+            incarnation.endpoint == orders.endpoint && incarnation.started_at_millis == orders.born
+        });
+        if !is_present || !self.is_synced {
+            return Ok(false);
+        }
+        self.applied_orders = orders.sequence;
+        // The orders are for the current incarnation, so the leader knows how the last one ended.
+        self.crash = None;
+        for pair in &orders.gains {
+            let value = f64::from(pair.gain_permille) / 1000.0;
+            let (best_effort, serving) = (pair.filling.clone(), pair.serving.clone());
+            self.interferences.set(best_effort, serving, value);
+        }
+        let reported_at = MonoTime::from_millis(orders.stamp_millis);
+        if self
+            .grant
+            .is_none_or(|grant| grant.reported_at < reported_at)
+        {
+            self.grant = Some(LeaseGrant { reported_at });
+        }
+        self.recorded_end = self.recorded_end.max(orders.recorded_end);
+        self.ends = self.ends.split_off(&(self.recorded_end + 1));
+        self.refused.retain(|key| keep.contains(key));
+        self.drop_revoked(&keep, now);
+        for plan in starts {
+            if keep.contains(&plan.key) {
+                self.add_attempt(plan, now);
+            }
+        }
+        Ok(true)
+    }
+
+    fn drop_revoked(&mut self, keep: &BTreeSet<AttemptKey>, now: MonoTime) {
+        self.attempts.retain(|key, attempt| {
+            let is_kept = keep.contains(key);
+            is_kept || attempt.was_sent || attempt.state != AttemptState::StartDue
+        });
+        for (key, attempt) in &mut self.attempts {
+            let is_stoppable = matches!(
+                attempt.state,
+                AttemptState::StartDue | AttemptState::Starting | AttemptState::Running
+            );
+            if !keep.contains(key) && is_stoppable {
+                attempt.state = AttemptState::StopDue;
+                attempt.retry_at = now;
+            }
+        }
+    }
+
+    fn add_attempt(&mut self, plan: StartPlan, now: MonoTime) {
+        let key = plan.key;
+        let has_ended = self.ends.values().any(|end| end.key == key);
+        if self.attempts.contains_key(&key) || self.refused.contains(&key) || has_ended {
+            return;
+        }
+        let status = AttemptStatus {
+            key,
+            checkpoint: String::new(),
+            percent: 0,
+            pace: FULL_PACE,
+        };
+        let attempt = TrackedAttempt {
+            state: AttemptState::StartDue,
+            plan: Some(plan),
+            was_sent: false,
+            may_have_run: false,
+            is_confirmed: false,
+            retry_at: now,
+            unanswered_at: None,
+            changed_at: 0,
+            status,
+        };
+        self.attempts.insert(key, attempt);
+    }
+}
+
+fn read_start(order: &v1::StartOrder) -> Result<StartPlan, NameError> {
+    Ok(StartPlan {
+        key: read_key(order.key.as_ref())?,
+        text: order.text.clone(),
+        checkpoint: order.checkpoint.clone(),
+        is_best_effort: order.fills,
+        latency_target_millis: (order.latency_target_millis > 0)
+            .then_some(order.latency_target_millis),
+        image: order.image.clone(),
+        cores: CoreCount::from_millicores(order.millicores),
+        reserved: ResourceSet::new(
+            CoreCount::from_millicores(order.reserved_millicores),
+            MemorySize::new(order.reserved_memory_bytes),
+            AcceleratorCount::new(order.reserved_accelerators),
+        ),
+    })
+}
--- /dev/null
+++ b/crates/turmeric-jobs/src/attempts/tracked.rs
@@ -0,0 +1,64 @@
+//! State of one attempt at the agent, and the capacity that attempts leave.
+
+use turmeric_types::{MonoTime, ResourceSet};
+
+use super::StartPlan;
+use crate::AttemptStatus;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AttemptState {
+    /// A start is due.
+    StartDue,
+    /// A start was sent and not answered yet.
+    Starting,
+    /// The worker runs the attempt, as far as the agent knows.
+    Running,
+    /// A stop is due.
+    StopDue,
+    /// A stop was sent and not answered yet.
+    Stopping,
+    /// A stop was answered; lists requested at `mark` or later are final.
+    Stopped { mark: u64 },
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct TrackedAttempt {
+    pub(super) state: AttemptState,
+    pub(super) plan: Option<StartPlan>,
+    /// A start was sent, so the worker may have the attempt.
+    pub(super) was_sent: bool,
+    /// The worker may have carried out a start.
+    pub(super) may_have_run: bool,
+    /// The worker has answered a start or listed the attempt.
+    pub(super) is_confirmed: bool,
+    pub(super) retry_at: MonoTime,
+    /// Change counter at an unanswered start. The start is repeated after a later list: the
+    /// worker may have restarted meanwhile, or may have the attempt.
+    pub(super) unanswered_at: Option<u64>,
+    /// Change counter when the attempt became running.
+    pub(super) changed_at: u64,
+    pub(super) status: AttemptStatus,
+}
+
+/// Capacity of a worker that no attempt reserves.
+pub(super) struct FreeCapacity {
+    pub(super) left: ResourceSet,
+    /// The attempts reserve more than the capacity.
+    pub(super) is_exceeded: bool,
+}
+
+impl FreeCapacity {
+    pub(super) fn take(&mut self, reserved: &ResourceSet) {
+        self.is_exceeded |= !reserved.fits_in(&self.left);
+        self.left = self.left.saturating_sub(reserved);
+    }
+
+    /// Returns whether an attempt may be started. One that was sent before is accounted for.
+    pub(super) fn can_start(&self, attempt: &TrackedAttempt, plan: &StartPlan) -> bool {
+        if attempt.was_sent {
+            !self.is_exceeded
+        } else {
+            plan.reserved.fits_in(&self.left)
+        }
+    }
+}
--- a/crates/turmeric-jobs/src/crashes.rs
+++ b/crates/turmeric-jobs/src/crashes.rs
@@ -12,7 +12,7 @@
 use crate::{AttemptKey, AttemptNumber};
 
 /// An attempt that was started at most this long before a crash may have caused it.
-pub const BLAME_WINDOW: Duration = Duration::from_millis(1000);
+pub const ATTRIBUTION_WINDOW: Duration = Duration::from_millis(1000);
 
 /// Attempts that were started at most this long before the last one share the blame with it:
 /// orders to one VM arrive in any order, and a crash follows its cause at some distance.
@@ -30,29 +30,52 @@
 /// How likely it is that an attempt caused the crash of its endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashEvidence {
-    /// It was started last before the crash, and no other within [`SHARED_WINDOW`] of it.
+    /// No other attempt can have been started as late, within [`SHARED_WINDOW`].
     Alone,
-    /// It was one of several attempts that were started last.
+    /// It was one of several attempts that may have been started last.
     Shared,
-    /// It was started earlier, or its start is unknown.
+    /// It had been running for a while.
+    Earlier,
+    /// The time of its start or of the crash is unknown.
     Unclear,
 }
 
-/// Weighs the attempts that a crash ended. For each, the time from its start to the crash is
-/// given if it is known.
+/// When an attempt was started, seen from a crash of its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartTime {
+    /// This long before the crash.
+    Before(Duration),
+    /// At any time before the crash: the worker never confirmed the start.
+    Unconfirmed,
+    /// Nobody knows; probably long before.
+    Unknown,
+}
+
+/// Weighs the attempts that a crash ended.
 pub fn weigh_crash(
-    ages: &BTreeMap<AttemptKey, Option<Duration>>,
+    starts: &BTreeMap<AttemptKey, StartTime>,
 ) -> BTreeMap<AttemptKey, CrashEvidence> {
-    let recent = ages.values().flatten().filter(|age| **age <= BLAME_WINDOW);
-    let oldest = recent.min().map(|youngest| *youngest + SHARED_WINDOW);
-    let is_last = |age: &Option<Duration>| age.is_some_and(|age| Some(age) <= oldest);
-    let last_count = ages.values().filter(|age| is_last(age)).count();
-    let weigh = |age: &Option<Duration>| match (is_last(age), last_count) {
-        (true, 1) => CrashEvidence::Alone,
+    let ages = starts.values().filter_map(|start| match start {
+        StartTime::Before(age) if *age <= ATTRIBUTION_WINDOW => Some(*age),
+        _ => None,
+    });
+    let oldest = ages.min().map(|youngest| youngest + SHARED_WINDOW);
+    let may_be_last = |start: &StartTime| match start {
+        StartTime::Before(age) => Some(*age) <= oldest,
+        StartTime::Unconfirmed => true,
+        StartTime::Unknown => false,
+    };
+    let last_count = starts.values().filter(|start| may_be_last(start)).count();
+    let weigh = |start: &StartTime| match (may_be_last(start), start) {
+        (true, _) if last_count == 1 => CrashEvidence::Alone,
         (true, _) => CrashEvidence::Shared,
+        (false, StartTime::Before(_)) => CrashEvidence::Earlier,
         (false, _) => CrashEvidence::Unclear,
     };
-    ages.iter().map(|(key, age)| (*key, weigh(age))).collect()
+    starts
+        .iter()
+        .map(|(key, start)| (*key, weigh(start)))
+        .collect()
 }
 
 /// What follows from a crash for one of the tasks that it ended.
@@ -62,8 +85,8 @@
     Known,
     /// The task is started again.
     Retry,
-    /// The task is given up, and its job fails.
-    GiveUp,
+    /// The task counts as failed, and its job with it.
+    Fail,
 }
 
 /// The crashes of endpoints under the attempts of a task.
@@ -78,17 +101,26 @@
 
 impl CrashRecord {
     /// Counts a crash during an attempt.
-    pub fn record(&mut self, attempt: AttemptNumber, evidence: CrashEvidence) -> CrashVerdict {
+    ///
+    /// The count alone fails no long-running task: such a task is on a VM all the time, so it
+    /// loses its VM to other tasks again and again.
+    pub fn record(
+        &mut self,
+        attempt: AttemptNumber,
+        evidence: CrashEvidence,
+        is_long_running: bool,
+    ) -> CrashVerdict {
         if !self.attempts.insert(attempt) {
             return CrashVerdict::Known;
         }
         let was_suspect = self.is_suspect;
         let count = self.attempts.len();
-        self.is_suspect |= evidence != CrashEvidence::Unclear || count >= ALONE_CRASH_LIMIT;
+        let may_be_cause = matches!(evidence, CrashEvidence::Alone | CrashEvidence::Shared);
+        self.is_suspect |= may_be_cause || count >= ALONE_CRASH_LIMIT;
         let is_proven =
             was_suspect && evidence == CrashEvidence::Alone && count >= ALONE_CRASH_LIMIT;
-        if is_proven || count >= CRASH_LIMIT {
-            CrashVerdict::GiveUp
+        if is_proven || (count >= CRASH_LIMIT && !is_long_running) {
+            CrashVerdict::Fail
         } else {
             CrashVerdict::Retry
         }
@@ -97,7 +129,7 @@
     /// Takes a crash back for which another task turned out to be to blame.
     ///
     /// Returns whether it had been counted.
-    pub fn forgive(&mut self, attempt: AttemptNumber) -> bool {
+    pub fn discount(&mut self, attempt: AttemptNumber) -> bool {
         self.attempts.remove(&attempt)
     }
 }
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -24,7 +24,8 @@
 pub use admission::{AdmissionDecision, QueueDelay, WorkDelay, admit};
 pub use attempts::{AttemptTable, StartAnswer, StartPlan, StopAnswer, WorkerCommand, WorkerLists};
 pub use crashes::{
-    BLAME_WINDOW, CrashEvidence, CrashRecord, CrashVerdict, SHARED_WINDOW, weigh_crash,
+    ATTRIBUTION_WINDOW, CrashEvidence, CrashRecord, CrashVerdict, SHARED_WINDOW, StartTime,
+    weigh_crash,
 };
 pub use election::{ElectionMonitor, ElectionStep, LeaderObservation, TakeoverCause};
 pub use estimates::{EstimateTable, StepEstimate};
--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -146,6 +146,9 @@
     pub incarnation: EndpointIncarnation,
     /// Attempts that may have been running.
     pub attempts: BTreeSet<AttemptKey>,
+    /// Those of them whose start was never confirmed: the worker may have carried it out at
+    /// any time since.
+    pub unconfirmed: BTreeSet<AttemptKey>,
 }
 
 /// Report of an agent to the leader about its VM.
@@ -274,13 +277,19 @@
         endpoint: crash.incarnation.endpoint.clone(),
         born: crash.incarnation.started_at_millis,
         runs: crash.attempts.iter().map(write_key).collect(),
+        unconfirmed: crash.unconfirmed.iter().map(write_key).collect(),
     }
 }
 
 fn read_crash(message: v1::LifeCrash) -> Result<IncarnationCrash, NameError> {
-    let attempts = message.runs.iter().map(|key| read_key(Some(key)));
+    let read_keys = |keys: &[v1::RunKey]| {
+        keys.iter()
+            .map(|key| read_key(Some(key)))
+            .collect::<Result<BTreeSet<_>, NameError>>()
+    };
     Ok(IncarnationCrash {
-        attempts: attempts.collect::<Result<_, NameError>>()?,
+        attempts: read_keys(&message.runs)?,
+        unconfirmed: read_keys(&message.unconfirmed)?,
         incarnation: EndpointIncarnation {
             endpoint: message.endpoint,
             started_at_millis: message.born,
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod ends;
 mod load;
+mod losses;
 mod moves;
 mod notes;
 mod orders;
@@ -86,7 +87,7 @@
     consolidation_offset: usize,
     crash_history: CrashHistory,
     /// Jobs that fail with the next round of placement, since one of their tasks is given up.
-    given_up: BTreeSet<JobCode>,
+    crashed_jobs: BTreeSet<JobCode>,
     headroom: HeadroomTable,
     estimates: EstimateTable,
     headroom_saved_at: MonoTime,
@@ -132,7 +133,7 @@
             consolidation_due: now,
             consolidation_offset: 0,
             crash_history: CrashHistory::default(),
-            given_up: BTreeSet::new(),
+            crashed_jobs: BTreeSet::new(),
             headroom: HeadroomTable::new(),
             estimates: EstimateTable::new(),
             headroom_saved_at: now,
--- a/crates/turmeric-jobs/src/scheduler/crashes.rs
+++ b/crates/turmeric-jobs/src/scheduler/crashes.rs
@@ -10,8 +10,8 @@
 use super::notes::JobEvent;
 use super::vm::VmAttempt;
 use crate::{
-    AttemptKey, BLAME_WINDOW, CrashEvidence, CrashVerdict, IncarnationCrash, JobPhase,
-    SHARED_WINDOW, TaskName, weigh_crash,
+    ATTRIBUTION_WINDOW, AttemptKey, CrashEvidence, CrashVerdict, IncarnationCrash, JobPhase,
+    SHARED_WINDOW, StartTime, TaskName, weigh_crash,
 };
 
 /// A crash of an endpoint, as the leader learns of it.
@@ -26,20 +26,32 @@
 }
 
 impl CrashNotice<'_> {
-    /// Returns the attempts that may have run at the endpoint, each with the time from its
-    /// start to the crash if that is known.
-    fn ages(&self) -> BTreeMap<AttemptKey, Option<Duration>> {
+    /// Returns the attempts that may have run at the endpoint, with the times of their starts.
+    fn starts(&self) -> BTreeMap<AttemptKey, StartTime> {
         let placed = self
             .lost
             .iter()
             .filter(|(key, attempt)| self.may_have_run(key, attempt));
-        let mut ages: BTreeMap<AttemptKey, Option<Duration>> = placed
-            .map(|(key, attempt)| (*key, self.at.and_then(|at| attempt.age_at(at))))
+        let mut starts: BTreeMap<AttemptKey, StartTime> = placed
+            .map(|(key, attempt)| (*key, self.start_time(key, attempt)))
             .collect();
         for key in self.report.iter().flat_map(|report| &report.attempts) {
-            ages.entry(*key).or_default();
+            starts.entry(*key).or_insert(StartTime::Unknown);
         }
-        ages
+        starts
+    }
+
+    fn start_time(&self, key: &AttemptKey, attempt: &VmAttempt) -> StartTime {
+        let Some(at) = self.at else {
+            return StartTime::Unknown;
+        };
+        let is_unconfirmed = |report: &IncarnationCrash| report.unconfirmed.contains(key);
+        if self.report.is_some_and(is_unconfirmed) {
+            return StartTime::Unconfirmed;
+        }
+        attempt
+            .age_at(at)
+            .map_or(StartTime::Unknown, StartTime::Before)
     }
 
     fn may_have_run(&self, key: &AttemptKey, attempt: &VmAttempt) -> bool {
@@ -80,15 +92,15 @@
         self.crashes.push_back(evidence);
     }
 
-    /// Returns the attempts of other tasks that crashes under a task ended, and that were
-    /// hardly to blame for them. Two tasks that were started together may both be to blame.
+    /// Returns the attempts of other tasks that crashes under a task ended, and that had
+    /// been running for a while. Of two tasks that were started together, both may be the cause.
     fn neighbours(&self, task: &TaskName) -> Vec<AttemptKey> {
         let is_under = |crash: &&BTreeMap<AttemptKey, CrashEvidence>| {
             crash.keys().any(|key| key.task == *task)
         };
         let neighbours = self.crashes.iter().filter(is_under).flatten();
         neighbours
-            .filter(|(key, evidence)| key.task != *task && **evidence == CrashEvidence::Unclear)
+            .filter(|(key, evidence)| key.task != *task && **evidence == CrashEvidence::Earlier)
             .map(|(key, _)| *key)
             .collect()
     }
@@ -98,9 +110,9 @@
     /// Counts a crash towards the tasks that were running, and gives up those to blame.
     pub(super) fn record_crash(&mut self, name: &str, notice: &CrashNotice<'_>, wall: WallTime) {
         let mut weighed: Vec<(AttemptKey, CrashEvidence)> =
-            weigh_crash(&notice.ages()).into_iter().collect();
+            weigh_crash(&notice.starts()).into_iter().collect();
         weighed.retain(|(key, evidence)| {
-            *evidence != CrashEvidence::Unclear
+            matches!(evidence, CrashEvidence::Alone | CrashEvidence::Shared)
                 || !self.is_long_running(key)
                 || !notice.was_at_work(key)
         });
@@ -114,16 +126,16 @@
             let is_proven =
                 self.record_task_crash(name, key, evidence) && evidence == CrashEvidence::Alone;
             if is_proven {
-                self.forgive_neighbours(&key.task);
+                self.discount_crashes(&key.task);
                 break;
             }
         }
-        self.finish_given_up(wall);
+        self.fail_crashed_jobs(wall);
     }
 
     /// Counts lost leases as crashes for tasks that have crashed an endpoint before, as far as
     /// anybody knows: nobody was there to tell what became of this one.
-    pub(super) fn record_silent_loss(&mut self, name: &str, lost: &[(AttemptKey, VmAttempt)]) {
+    pub(super) fn record_lease_loss(&mut self, name: &str, lost: &[(AttemptKey, VmAttempt)]) {
         for (key, attempt) in lost {
             let job = self.jobs.get(&key.task.job);
             let state = job.and_then(|job| job.tasks.get(&key.task));
@@ -134,8 +146,8 @@
     }
 
     /// Fails the jobs of tasks that were given up since the last round of placement.
-    pub(super) fn finish_given_up(&mut self, wall: WallTime) {
-        for code in std::mem::take(&mut self.given_up) {
+    pub(super) fn fail_crashed_jobs(&mut self, wall: WallTime) {
+        for code in std::mem::take(&mut self.crashed_jobs) {
             let job = self.jobs.get(&code);
             if job.is_some_and(|job| !job.phase.is_terminal()) {
                 self.finish_job(code, JobPhase::Failed, wall);
@@ -144,12 +156,12 @@
     }
 
     /// Takes back the crashes that were counted towards the neighbours of a task to blame.
-    fn forgive_neighbours(&mut self, task: &TaskName) {
+    fn discount_crashes(&mut self, task: &TaskName) {
         for key in self.crash_history.neighbours(task) {
             let job = self.jobs.get_mut(&key.task.job);
             let job = job.filter(|job| !job.phase.is_terminal());
             let state = job.and_then(|job| job.tasks.get_mut(&key.task));
-            if state.is_some_and(|state| state.crashes.forgive(key.attempt)) {
+            if state.is_some_and(|state| state.crashes.discount(key.attempt)) {
                 self.touch(key.task.job);
             }
         }
@@ -157,6 +169,7 @@
 
     /// Counts a crash towards one task; returns whether the task is given up.
     fn record_task_crash(&mut self, name: &str, key: AttemptKey, evidence: CrashEvidence) -> bool {
+        let is_long_running = self.is_long_running(&key);
         let job = self.jobs.get_mut(&key.task.job);
         let Some(job) = job.filter(|job| !job.phase.is_terminal()) else {
             return false;
@@ -164,14 +177,14 @@
         let Some(state) = job.tasks.get_mut(&key.task).filter(|state| !state.is_done) else {
             return false;
         };
-        let verdict = state.crashes.record(key.attempt, evidence);
+        let verdict = state.crashes.record(key.attempt, evidence, is_long_running);
         let crashes = state.crashes.attempts.len();
         if verdict == CrashVerdict::Known {
             return false;
         }
-        let is_given_up = verdict == CrashVerdict::GiveUp;
-        if is_given_up {
-            self.given_up.insert(key.task.job);
+        let is_fatal = verdict == CrashVerdict::Fail;
+        if is_fatal {
+            self.crashed_jobs.insert(key.task.job);
         }
         self.touch(key.task.job);
         self.events.push(JobEvent::Crashed {
@@ -179,9 +192,9 @@
             vm: name.to_owned(),
             evidence,
             crashes,
-            is_given_up,
+            is_fatal,
         });
-        is_given_up
+        is_fatal
     }
 
     fn is_long_running(&self, key: &AttemptKey) -> bool {
@@ -200,11 +213,11 @@
 
     /// Returns whether no other task may be started beside the attempt, so that a crash tells
     /// whether its task is to blame.
-    pub(super) fn is_on_probation(&self, now: MonoTime) -> bool {
+    pub(super) fn is_isolated(&self, now: MonoTime) -> bool {
         self.is_suspect
             && self
                 .sent_at
-                .is_none_or(|sent| now <= sent.after(BLAME_WINDOW))
+                .is_none_or(|sent| now <= sent.after(ATTRIBUTION_WINDOW))
     }
 
     /// Returns whether the attempt would share the blame for a crash now.
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -5,7 +5,6 @@
 use turmeric_types::{MonoTime, WallTime};
 
 use super::JobScheduler;
-use super::crashes::CrashNotice;
 use super::notes::{EvictionCause, JobEvent, LossCause};
 use super::vm::{VmAttempt, VmState};
 use crate::{
@@ -235,171 +234,6 @@
         }
     }
 
-    /// Handles an attempt that the agent reports it will never start.
-    fn handle_refusal(&mut self, name: &str, key: AttemptKey) {
-        let Some(vm) = self.vms.get_mut(name) else {
-            return;
-        };
-        if let Some(attempt) = vm.attempts.remove(&key) {
-            self.requeue_task(key, &attempt, LossCause::Refused);
-        }
-    }
-
-    /// Returns a task to the queue whose attempt can no longer be running.
-    pub(super) fn requeue_task(&mut self, key: AttemptKey, attempt: &VmAttempt, cause: LossCause) {
-        let Some(job) = self.jobs.get_mut(&key.task.job) else {
-            return;
-        };
-        let Some(state) = job.tasks.get_mut(&key.task) else {
-            return;
-        };
-        if state.attempt != key.attempt || state.location.as_ref() != Some(&attempt.location) {
-            return;
-        }
-        state.location = None;
-        if !attempt.checkpoint.is_empty() {
-            state.checkpoint.clone_from(&attempt.checkpoint);
-        }
-        self.touch(key.task.job);
-        self.events.push(JobEvent::Lost {
-            key,
-            vm: attempt.location.vm.clone(),
-            cause,
-        });
-    }
-
-    /// Moves attempts of an earlier incarnation to the current one if the report lists them.
-    ///
-    /// An agent that does not know yet that the endpoint was restarted starts tasks of the
-    /// earlier incarnation in the new one. They must not run elsewhere before they are stopped
-    /// there.
-    fn adopt_listed(&mut self, report: &VmReport) {
-        let Some(vm) = self.vms.get_mut(&report.vm) else {
-            return;
-        };
-        let Some(incarnation) = vm.info.as_ref().map(|info| info.incarnation.clone()) else {
-            return;
-        };
-        let mut moved = Vec::new();
-        for status in &report.attempts {
-            let Some(attempt) = vm.attempts.get_mut(&status.key) else {
-                continue;
-            };
-            if attempt.location.incarnation != incarnation {
-                let earlier = attempt.location.clone();
-                attempt.location.incarnation = incarnation.clone();
-                moved.push((status.key, earlier, attempt.location.clone()));
-            }
-        }
-        for (key, earlier, location) in moved {
-            let state = self
-                .jobs
-                .get_mut(&key.task.job)
-                .and_then(|job| job.tasks.get_mut(&key.task));
-            if let Some(state) = state
-                && state.location.as_ref() == Some(&earlier)
-            {
-                state.location = Some(location);
-                self.touch(key.task.job);
-            }
-        }
-    }
-
-    fn lose_other_incarnations(&mut self, report: &VmReport, at: Option<MonoTime>, wall: WallTime) {
-        let name = &report.vm;
-        let was_draining = self.vms.get(name).is_some_and(|vm| vm.was_draining);
-        let is_lost =
-            |vm: &VmState, attempt: &VmAttempt| !vm.is_current_incarnation(&attempt.location);
-        if was_draining {
-            self.lose_where(name, LossCause::OtherIncarnation, is_lost);
-        } else {
-            let lost = self.lose_where(name, LossCause::Crashed, is_lost);
-            self.record_reported_crash(report, &lost, at, wall);
-        }
-    }
-
-    fn lose_current_incarnation(
-        &mut self,
-        report: &VmReport,
-        at: Option<MonoTime>,
-        wall: WallTime,
-    ) {
-        let name = &report.vm;
-        let info = self.vms.get(name).and_then(|vm| vm.info.as_ref());
-        let has_crashed = report
-            .crash
-            .as_ref()
-            .is_some_and(|crash| info.is_some_and(|info| info.incarnation == crash.incarnation));
-        let is_lost =
-            |vm: &VmState, attempt: &VmAttempt| vm.is_current_incarnation(&attempt.location);
-        if has_crashed {
-            let lost = self.lose_where(name, LossCause::Crashed, is_lost);
-            self.record_reported_crash(report, &lost, at, wall);
-        } else {
-            self.lose_where(name, LossCause::IncarnationEnded, is_lost);
-        }
-    }
-
-    fn record_reported_crash(
-        &mut self,
-        report: &VmReport,
-        lost: &[(AttemptKey, VmAttempt)],
-        at: Option<MonoTime>,
-        wall: WallTime,
-    ) {
-        let notice = CrashNotice {
-            lost,
-            report: report.crash.as_ref(),
-            at,
-        };
-        // An agent repeats the news of a crash until it hears from the leader.
-        let incarnation = report.crash.as_ref().map(|crash| &crash.incarnation);
-        let Some(vm) = self.vms.get_mut(&report.vm) else {
-            return;
-        };
-        if lost.is_empty() && vm.last_crash.as_ref() == incarnation {
-            return;
-        }
-        if let Some(incarnation) = incarnation {
-            vm.last_crash = Some(incarnation.clone());
-        }
-        self.record_crash(&report.vm, &notice, wall);
-    }
-
-    fn lose_all(&mut self, name: &str) {
-        let lost = self.lose_where(name, LossCause::LeaseExpired, |_, _| true);
-        self.record_silent_loss(name, &lost);
-    }
-
-    /// Removes the attempts for which `is_lost` holds and returns their tasks to the queue.
-    ///
-    /// Returns the attempts.
-    fn lose_where(
-        &mut self,
-        name: &str,
-        cause: LossCause,
-        is_lost: impl Fn(&VmState, &VmAttempt) -> bool,
-    ) -> Vec<(AttemptKey, VmAttempt)> {
-        let Some(vm) = self.vms.get_mut(name) else {
-            return Vec::new();
-        };
-        let lost_keys: Vec<AttemptKey> = vm
-            .attempts
-            .iter()
-            .filter(|(_, attempt)| is_lost(vm, attempt))
-            .map(|(key, _)| *key)
-            .collect();
-        vm.listed.clear();
-        let attempts: Vec<(AttemptKey, VmAttempt)> = lost_keys
-            .into_iter()
-            .filter_map(|key| vm.attempts.remove(&key).map(|attempt| (key, attempt)))
-            .collect();
-        for (key, attempt) in &attempts {
-            self.requeue_task(*key, attempt, cause);
-        }
-        attempts
-    }
-
     /// Reconciles the attempts that an agent listed with those placed on the VM.
     fn reconcile_attempts(&mut self, name: &str, report: &VmReport, now: MonoTime) {
         let listed = report.attempts.iter().map(|status| status.key).collect();
@@ -443,13 +277,7 @@
             })
             .map(|(key, _)| *key)
             .collect();
-        let attempts: Vec<(AttemptKey, VmAttempt)> = dropped_keys
-            .into_iter()
-            .filter_map(|key| vm.attempts.remove(&key).map(|attempt| (key, attempt)))
-            .collect();
-        for (key, attempt) in attempts {
-            self.requeue_task(key, &attempt, LossCause::Dropped);
-        }
+        self.remove_attempts(name, dropped_keys, LossCause::Dropped);
     }
 
     /// Creates the state of a listed attempt that this leader does not know.
--- a/crates/turmeric-jobs/src/scheduler/notes.rs
+++ b/crates/turmeric-jobs/src/scheduler/notes.rs
@@ -86,7 +86,7 @@
         /// Crashes that count towards the task.
         crashes: usize,
         /// The task is given up, and its job fails.
-        is_given_up: bool,
+        is_fatal: bool,
     },
     /// The worker on a VM does not answer its agent, or answers again.
     Reachability {
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -96,35 +96,26 @@
     /// Load pattern: the store is away for seconds, so that what was placed before waits for
     /// its record, and the VM shrinks meanwhile.
     fn withdraw_unsent(&mut self, name: &str) {
-        let Some(vm) = self.vms.get_mut(name) else {
+        let Some(vm) = self.vms.get(name) else {
             return;
         };
-        let Some(info) = &vm.info else {
+        let (Some(info), true) = (&vm.info, vm.attempts.values().any(VmAttempt::is_unsent)) else {
             return;
         };
         let is_closed = self.closed_zones.contains(&vm.zone);
-        let (unsent, sent): (Vec<_>, Vec<_>) = vm
-            .attempts
-            .iter()
-            .partition(|(_, attempt)| attempt.is_unsent());
-        let mut free = sent.iter().fold(info.capacity, |free, (_, attempt)| {
-            free.saturating_sub(&attempt.reserved)
-        });
+        let mut free = vm.free_resources(info, |attempt| !attempt.is_unsent());
         let mut withdrawn = Vec::new();
-        for (key, attempt) in unsent {
+        for (key, attempt) in &vm.attempts {
+            if !attempt.is_unsent() {
+                continue;
+            }
             if is_closed || !attempt.reserved.fits_in(&free) {
                 withdrawn.push(*key);
             } else {
                 free = free.saturating_sub(&attempt.reserved);
             }
         }
-        let attempts: Vec<(AttemptKey, VmAttempt)> = withdrawn
-            .into_iter()
-            .filter_map(|key| vm.attempts.remove(&key).map(|attempt| (key, attempt)))
-            .collect();
-        for (key, attempt) in attempts {
-            self.requeue_task(key, &attempt, LossCause::Withdrawn);
-        }
+        self.remove_attempts(name, withdrawn, LossCause::Withdrawn);
     }
 
     /// Returns how much headroom each best-effort image on a VM takes from each serving image
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -71,7 +71,7 @@
     ///
     /// Returns how many tasks were placed.
     pub fn place(&mut self, now: MonoTime, wall: WallTime) -> usize {
-        self.finish_given_up(wall);
+        self.fail_crashed_jobs(wall);
         if self.is_releasing {
             return 0;
         }
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -240,6 +240,18 @@
         self.failed_jobs.len() >= FAILED_JOB_LIMIT
     }
 
+    /// Returns the resources that the attempts for which `is_counted` holds do not reserve.
+    pub(crate) fn free_resources(
+        &self,
+        info: &EndpointInfo,
+        is_counted: impl Fn(&VmAttempt) -> bool,
+    ) -> ResourceSet {
+        let counted = self.attempts.values().filter(|attempt| is_counted(attempt));
+        counted.fold(info.capacity, |free, attempt| {
+            free.saturating_sub(&attempt.reserved)
+        })
+    }
+
     /// Returns the VM's free capacity, or [`None`] while no task may be placed on it.
     pub(crate) fn free_capacity(
         &self,
@@ -261,15 +273,13 @@
             || self
                 .attempts
                 .values()
-                .any(|attempt| attempt.is_on_probation(now))
+                .any(|attempt| attempt.is_isolated(now))
             || now < self.suspect_until
             || has_probe
         {
             return None;
         }
-        let free = self.attempts.values().fold(info.capacity, |free, attempt| {
-            free.saturating_sub(&attempt.reserved)
-        });
+        let free = self.free_resources(info, |_| true);
         let fillers = self.best_effort_cores();
         Some(VmCapacity {
             vm: name.to_owned(),
--- a/crates/turmeric-jobs/tests/crashes.rs
+++ b/crates/turmeric-jobs/tests/crashes.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use turmeric_jobs::{
-    AttemptEnd, AttemptKey, AttemptStatus, EndKind, EndpointIncarnation, EndpointInfo, JobCode,
-    JobPhase, JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, QueuePolicy, StepSpec, VmReport,
-    read_key,
+    AttemptEnd, AttemptKey, AttemptStatus, AttemptTable, EndKind, EndpointIncarnation,
+    EndpointInfo, JobCode, JobPhase, JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits,
+    QueuePolicy, StartAnswer, StepSpec, VmReport, WorkerCommand, WorkerLists, read_key,
 };
 use turmeric_schema::{Message, v1};
 use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
@@ -47,8 +47,8 @@
     progress: BTreeMap<JobCode, Vec<u8>>,
     vms: Vec<FakeVm>,
     /// Jobs whose tasks of index 0 crash the endpoints that start them.
-    deadly: BTreeSet<JobCode>,
-    /// Number of crashes and starts of each deadly job.
+    crashing: BTreeSet<JobCode>,
+    /// Number of crashes and starts of each crashing job.
     crashes: BTreeMap<JobCode, usize>,
     starts_after_three: BTreeMap<JobCode, usize>,
     /// Rounds in which no write reaches the store.
@@ -104,7 +104,7 @@
             specs: BTreeMap::new(),
             progress: BTreeMap::new(),
             vms: (0..vms).map(|_| new_vm()).collect(),
-            deadly: BTreeSet::new(),
+            crashing: BTreeSet::new(),
             crashes: BTreeMap::new(),
             starts_after_three: BTreeMap::new(),
             store_is_away: false,
@@ -127,9 +127,9 @@
         code
     }
 
-    fn submit_deadly(&mut self, number: u64, count: u32) -> JobCode {
+    fn submit_crashing(&mut self, number: u64, count: u32) -> JobCode {
         let code = self.submit(number, count, 1);
-        self.deadly.insert(code);
+        self.crashing.insert(code);
         code
     }
 
@@ -227,7 +227,7 @@
             }
             let seconds = self.specs[&job].steps[0].estimate.as_secs();
             vm.running.insert(key, seconds * 1000 / ROUND);
-            if index == 0 && self.deadly.contains(&job) {
+            if index == 0 && self.crashing.contains(&job) {
                 let crashes = self.crashes.entry(job).or_default();
                 if *crashes >= 3 {
                     *self.starts_after_three.entry(job).or_default() += 1;
@@ -271,7 +271,7 @@
     }
 
     /// Checks that a job has failed before its task broke the platform's rule.
-    fn check_given_up(&self, code: JobCode) {
+    fn check_failed(&self, code: JobCode) {
         let starts = self.starts_after_three.get(&code).copied();
         let starts = starts.unwrap_or_default();
         assert!(starts < FORBIDDEN_STARTS, "{code}: {starts} starts");
@@ -284,11 +284,11 @@
 }
 
 #[test]
-fn task_that_crashes_each_endpoint_is_given_up() {
+fn task_that_crashes_each_endpoint_is_fatal() {
     let mut fleet = Fleet::new(6);
-    let code = fleet.submit_deadly(1, 3);
+    let code = fleet.submit_crashing(1, 3);
     fleet.play(ROUND_LIMIT);
-    fleet.check_given_up(code);
+    fleet.check_failed(code);
     // It is started alone after the first crash, so the second proves it.
     assert_eq!(fleet.crashes[&code], 2);
 }
@@ -297,12 +297,12 @@
 #[test]
 fn crashes_are_counted_across_takeovers() {
     let mut fleet = Fleet::new(6);
-    let code = fleet.submit_deadly(1, 3);
+    let code = fleet.submit_crashing(1, 3);
     for _ in 0..ROUND_LIMIT / 10 {
         fleet.play(10);
         fleet.take_over();
     }
-    fleet.check_given_up(code);
+    fleet.check_failed(code);
 }
 
 /// While the store is away nothing new starts, and what the leader has counted is written once
@@ -310,12 +310,12 @@
 #[test]
 fn crashes_are_counted_while_the_store_is_away() {
     let mut fleet = Fleet::new(6);
-    let code = fleet.submit_deadly(1, 3);
+    let code = fleet.submit_crashing(1, 3);
     for turn in 0..ROUND_LIMIT / 20 {
         fleet.store_is_away = turn % 2 == 1;
         fleet.play(20);
     }
-    fleet.check_given_up(code);
+    fleet.check_failed(code);
 }
 
 /// Tasks beside one that crashes its endpoints are lost with them, and finish all the same.
@@ -324,10 +324,10 @@
     let mut fleet = Fleet::new(6);
     let neighbours: Vec<JobCode> = (10..18).map(|job| fleet.submit(job, 4, 5)).collect();
     fleet.play(10);
-    let deadly: Vec<JobCode> = (1..4).map(|job| fleet.submit_deadly(job, 2)).collect();
+    let crashing: Vec<JobCode> = (1..4).map(|job| fleet.submit_crashing(job, 2)).collect();
     fleet.play(ROUND_LIMIT);
-    for code in deadly {
-        fleet.check_given_up(code);
+    for code in crashing {
+        fleet.check_failed(code);
     }
     for code in neighbours {
         assert_eq!(fleet.phase(code), JobPhase::Done, "{code}");
@@ -379,3 +379,34 @@
     fleet.play(ROUND_LIMIT);
     assert_eq!(fleet.phase(code), JobPhase::Done);
 }
+
+/// A worker that crashes as it starts an attempt comes back under the same identifier. The agent
+/// repeats the start only once it has seen what the worker runs, so that one attempt does not
+/// crash both incarnations.
+#[test]
+fn unanswered_start_is_repeated_after_a_list_only() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(1, 1, 1);
+    let (now, wall) = (fleet.now(), fleet.wall());
+    fleet.leader.handle_report(fleet.report(0), now, wall);
+    assert_eq!(fleet.leader.place(now, wall), 1);
+    let now = now.after(Duration::from_secs(1));
+    let plan = fleet.leader.begin_commit(now, wall).unwrap();
+    fleet.leader.commit_done(&plan, now);
+    let orders = fleet.leader.orders("w0", now).unwrap();
+
+    let mut table = AttemptTable::new();
+    table.update_endpoint(fleet.report(0).endpoint_info.unwrap());
+    table.set_synced();
+    let now = MonoTime::from_millis(orders.stamp_millis);
+    assert!(table.apply_orders(&orders, now).unwrap());
+    let commands = table.take_commands(now);
+    let [WorkerCommand::Start(start)] = commands.as_slice() else {
+        panic!("{commands:?}");
+    };
+    table.handle_start_answer(start.key, StartAnswer::Unknown, now);
+    let now = now.after(Duration::from_secs(1));
+    assert_eq!(table.take_commands(now), vec![]);
+    table.apply_lists(table.list_mark(), WorkerLists::default());
+    assert_eq!(table.take_commands(now).len(), 1);
+}
--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -24,12 +24,30 @@
     }
 }
 
-fn event() -> impl Strategy<Value = WorldEvent> {
+/// Returns rounds with lost messages, late orders, an agent cut off and the store away.
+fn faulty_rounds(
+    count: usize,
+    (loss_percent, late_percent): (u64, u64),
+    cut_agent: Option<usize>,
+    store_down: bool,
+    seed: u64,
+) -> WorldEvent {
+    WorldEvent::Rounds {
+        count,
+        loss_percent,
+        late_percent,
+        cut_agent,
+        store_down,
+        seed,
+    }
+}
+
+/// Events of processes, messages and the store.
+fn process_event() -> impl Strategy<Value = WorldEvent> {
     let entry = 0..2_usize;
     let agent = 0..3_usize;
     prop_oneof![
         8 => any::<bool>().prop_map(|long_running| WorldEvent::Submit { long_running }),
-        2 => Just(WorldEvent::SubmitDeadly),
         2 => Just(WorldEvent::Cancel),
         2 => entry.clone().prop_map(WorldEvent::TakeOver),
         3 => entry.prop_map(WorldEvent::TakeOverUnseen),
@@ -39,8 +57,6 @@
             .prop_map(|(worker, with_agent)| WorldEvent::Leave { worker, with_agent }),
         2 => (agent.clone(), any::<bool>())
             .prop_map(|(worker, on)| WorldEvent::FailAll { worker, on }),
-        4 => (agent.clone(), 0..=CAPACITY_TASKS as u64 / 3)
-            .prop_map(|(worker, tasks)| WorldEvent::Resize { worker, tasks }),
         6 => (1..60_usize).prop_map(rounds),
         16 => (
             1..160_usize,
@@ -52,19 +68,23 @@
         )
             .prop_map(
                 |(count, loss_percent, late_percent, cut_agent, store_down, seed)| {
-                    WorldEvent::Rounds {
-                        count,
-                        loss_percent,
-                        late_percent,
-                        cut_agent,
-                        store_down,
-                        seed,
-                    }
+                    let percents = (loss_percent, late_percent);
+                    faulty_rounds(count, percents, cut_agent, store_down, seed)
                 }
             ),
     ]
 }
 
+/// Events, with jobs that crash their workers and with workers that shrink and grow.
+fn event() -> impl Strategy<Value = WorldEvent> {
+    prop_oneof![
+        2 => Just(WorldEvent::SubmitCrashing),
+        4 => (0..3_usize, 0..=CAPACITY_TASKS as u64 / 3)
+            .prop_map(|(worker, tasks)| WorldEvent::Resize { worker, tasks }),
+        46 => process_event(),
+    ]
+}
+
 /// Events with jobs that allow few of their tasks on a VM; a full fleet may have no room for
 /// all tasks of these.
 fn event_with_limits() -> impl Strategy<Value = WorldEvent> {
@@ -92,7 +112,8 @@
     };
     let rng = TestRng::deterministic_rng(config.rng_algorithm);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let schedules = proptest::collection::vec(event(), 5..40);
+    // Other violations must not hide the one that is looked for.
+    let schedules = proptest::collection::vec(process_event(), 5..40);
     let found = runner.run(&schedules, |events| {
         let mut world = World::with_fault(Some(fault));
         for event in &events {
@@ -110,30 +131,124 @@
 #[test]
 fn placement_that_waited_for_the_store_fits_its_vm() {
     let mut world = World::new();
-    let submit = WorldEvent::Submit {
-        long_running: false,
-    };
-    let away = |count| WorldEvent::Rounds {
-        count,
-        loss_percent: 0,
-        late_percent: 0,
-        cut_agent: None,
-        store_down: true,
-        seed: 1,
-    };
     for _ in 0..2 {
-        world.apply(&submit);
-        world.apply(&submit);
+        world.apply(&SUBMIT);
+        world.apply(&SUBMIT);
         world.apply(&rounds(1));
     }
     for worker in 0..3 {
         world.apply(&WorldEvent::Resize { worker, tasks: 0 });
     }
-    world.apply(&away(95));
+    world.apply(&faulty_rounds(95, (0, 0), None, true, 1));
     world.apply(&rounds(20));
     world.check().unwrap();
 }
 
+const SUBMIT: WorldEvent = WorldEvent::Submit {
+    long_running: false,
+};
+
+const SUBMIT_LONG_RUNNING: WorldEvent = WorldEvent::Submit { long_running: true };
+
+/// Schedules with crashing workers that once violated an invariant.
+#[rstest]
+#[case::silent_loss_of_a_suspect(vec![
+    WorldEvent::SubmitCrashing,
+    rounds(72),
+    WorldEvent::SubmitCrashing,
+    faulty_rounds(89, (19, 7), Some(0), false, 5864623692792370241),
+    WorldEvent::Resize { worker: 1, tasks: 0 },
+    rounds(2),
+    WorldEvent::KillAgent(1),
+    faulty_rounds(131, (4, 1), Some(1), false, 13892639107215799791),
+    SUBMIT_LONG_RUNNING,
+    faulty_rounds(91, (48, 36), None, false, 810620778040609101),
+    WorldEvent::Cancel,
+    faulty_rounds(90, (0, 0), Some(2), false, 0),
+])]
+#[case::two_crashing_tasks_started_together(vec![
+    WorldEvent::SubmitCrashing,
+    rounds(27),
+    WorldEvent::SubmitCrashing,
+    WorldEvent::KillAgent(0),
+    WorldEvent::SubmitLimited,
+    WorldEvent::SubmitCrashing,
+    rounds(9),
+    WorldEvent::TakeOver(0),
+    faulty_rounds(61, (27, 0), None, false, 7000669612285396412),
+    faulty_rounds(134, (52, 36), None, false, 4542489983521293039),
+    faulty_rounds(87, (16, 0), Some(1), true, 9297696219739123401),
+    rounds(2),
+    WorldEvent::RestartWorker(0),
+    rounds(21),
+])]
+#[case::discount_of_a_failed_job(vec![
+    WorldEvent::TakeOverUnseen(1),
+    WorldEvent::SubmitCrashing,
+    faulty_rounds(4, (0, 0), Some(0), true, 0),
+    WorldEvent::SubmitCrashing,
+    rounds(46),
+    WorldEvent::SubmitCrashing,
+    faulty_rounds(110, (23, 9), None, false, 10574638386286365759),
+    rounds(129),
+])]
+#[case::long_running_job_beside_three_crashing_ones(vec![
+    WorldEvent::SubmitCrashing,
+    WorldEvent::SubmitCrashing,
+    faulty_rounds(74, (0, 0), None, true, 0),
+    SUBMIT,
+    WorldEvent::TakeOver(0),
+    SUBMIT_LONG_RUNNING,
+    SUBMIT,
+    WorldEvent::SubmitCrashing,
+    faulty_rounds(71, (33, 26), Some(0), false, 6634132142517166289),
+    faulty_rounds(109, (35, 5), Some(0), false, 6316888865877825037),
+])]
+#[case::crashing_tasks_of_unknown_start(vec![
+    WorldEvent::SubmitCrashing,
+    WorldEvent::SubmitCrashing,
+    rounds(32),
+    SUBMIT,
+    faulty_rounds(133, (44, 44), Some(1), false, 2268361084057134858),
+    rounds(26),
+    WorldEvent::SubmitLimited,
+    rounds(43),
+    WorldEvent::SubmitLimited,
+    WorldEvent::SubmitLimited,
+    WorldEvent::RestartWorker(2),
+    faulty_rounds(104, (32, 17), None, false, 15651617141172743172),
+    WorldEvent::Cancel,
+])]
+#[case::long_running_job_without_reports(vec![
+    SUBMIT_LONG_RUNNING,
+    rounds(2),
+    WorldEvent::SubmitCrashing,
+    faulty_rounds(47, (0, 0), Some(0), false, 0),
+    faulty_rounds(150, (36, 21), None, false, 1081723290472671163),
+    WorldEvent::TakeOver(0),
+    WorldEvent::RestartWorker(0),
+    rounds(2),
+    faulty_rounds(92, (0, 0), Some(2), false, 0),
+])]
+#[case::start_carried_out_late(vec![
+    WorldEvent::SubmitCrashing,
+    SUBMIT_LONG_RUNNING,
+    SUBMIT_LONG_RUNNING,
+    rounds(39),
+    faulty_rounds(120, (0, 50), None, false, 2122252551773068689),
+])]
+fn schedule_with_crashes_violates_nothing(#[case] events: Vec<WorldEvent>) {
+    let mut world = World::new();
+    for event in &events {
+        world.apply(event);
+        world.check().unwrap();
+    }
+    world.run_without_faults();
+    world.check().unwrap();
+    let (wanted, running) = world.long_running_counts();
+    assert_eq!(running, (wanted * 3).min(CAPACITY_TASKS));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
 
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -16,7 +16,7 @@
 use turmeric_types::{
     AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, SplitMixRandom, WallTime,
 };
-use worker::{DEADLY_TEXT, ModelWorker, TASK_MILLICORES, WORKER_MILLICORES};
+use worker::{CRASHING_TEXT, ModelWorker, TASK_MILLICORES, WORKER_MILLICORES};
 
 const LEASE: LeaseLimits = LeaseLimits::new(Duration::from_secs(4));
 
@@ -33,7 +33,7 @@
 const CRASH_LIMIT: usize = 5;
 
 /// Crashes under a task after which it may be given up.
-const GIVE_UP_LIMIT: usize = 2;
+const FATAL_CRASHES: usize = 2;
 
 /// Most tasks of a long-running step on one VM.
 const VM_LIMIT: u32 = 2;
@@ -48,7 +48,7 @@
     /// A caller submits a long-running job that allows two of its tasks on a VM.
     SubmitLimited,
     /// A caller submits a job whose first task crashes each worker that starts it.
-    SubmitDeadly,
+    SubmitCrashing,
     /// The newest job is cancelled.
     Cancel,
     /// An entry takes over leadership, and the earlier leader stops.
@@ -232,10 +232,10 @@
                 spec.steps[0].vm_limit = Some(VM_LIMIT);
                 self.store.intake.insert(JobCode::new(self.next_job), spec);
             }
-            WorldEvent::SubmitDeadly => {
+            WorldEvent::SubmitCrashing => {
                 self.next_job += 1;
                 let mut spec = spec(self.now, false);
-                spec.text = DEADLY_TEXT.to_owned();
+                spec.text = CRASHING_TEXT.to_owned();
                 self.store.intake.insert(JobCode::new(self.next_job), spec);
             }
             WorldEvent::Cancel => {
@@ -279,6 +279,10 @@
     }
 
     fn leave(&mut self, number: usize, with_agent: bool) {
+        // A crashed worker sends nothing, so it cannot deregister.
+        if self.workers[number].down_until.is_some() {
+            return;
+        }
         self.workers[number].leave();
         self.agents[number].table.set_departed();
         if with_agent {
@@ -489,7 +493,7 @@
                 }
             }
             let has_cause = progress.tasks.iter().any(|task| {
-                task.failed_runs.len() >= ATTEMPT_LIMIT || task.crashed_runs.len() >= GIVE_UP_LIMIT
+                task.failed_runs.len() >= ATTEMPT_LIMIT || task.crashed_runs.len() >= FATAL_CRASHES
             });
             if JobPhase::read(progress.phase) == Some(JobPhase::Failed) && !has_cause {
                 self.violations.push(format!("{code} failed without cause"));
--- a/crates/turmeric-jobs/tests/world/worker.rs
+++ b/crates/turmeric-jobs/tests/world/worker.rs
@@ -23,7 +23,7 @@
 const SHRINK_GRACE: u64 = 4_500;
 
 /// Text of a job whose first task crashes each worker that starts it.
-pub const DEADLY_TEXT: &str = "deadly";
+pub const CRASHING_TEXT: &str = "crashing";
 
 /// Time for which a crashed worker is down, in milliseconds.
 const CRASH_DURATION: u64 = 3_000;
@@ -307,7 +307,7 @@
                         long_running,
                     },
                 );
-                if plan.text == DEADLY_TEXT && key.task.step == 0 && key.task.index == 0 {
+                if plan.text == CRASHING_TEXT && key.task.step == 0 && key.task.index == 0 {
                     self.crash(key.task, now);
                 }
                 Some(key)
