Add failing tests of a worker that answers again after its leases expired

The tests replay it with a leader and the agent's table: the agent declares the leases expired, the leader takes the task back, the worker answers again under the same incarnation, and the agent sends the start from before.

--- /dev/null
+++ b/crates/turmeric-jobs/tests/silent_workers.rs
@@ -0,0 +1,198 @@
+//! Workers that answer nothing for longer than their leases, and then answer again.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::time::Duration;
+
+use rstest::rstest;
+use turmeric_jobs::{
+    AttemptKey, AttemptNumber, AttemptTable, EndpointIncarnation, EndpointInfo, JobCode,
+    JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, QueuePolicy, StartAnswer, StepSpec,
+    StopAnswer, VmReport, WorkerCommand, WorkerLists, read_key,
+};
+use turmeric_schema::v1;
+use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
+
+fn resources(cores: u64) -> ResourceSet {
+    ResourceSet::new(
+        CoreCount::from_millicores(cores * 1000),
+        MemorySize::new(64 << 30),
+        AcceleratorCount::new(0),
+    )
+}
+
+fn job() -> JobSpec {
+    JobSpec {
+        queue: QueuePolicy {
+            service: "s".to_owned(),
+            ..QueuePolicy::default()
+        },
+        accepted_at: WallTime::default(),
+        text: String::new(),
+        steps: vec![StepSpec {
+            count: 1,
+            need: ResourceSet {
+                memory: MemorySize::new(1 << 30),
+                ..resources(1)
+            },
+            estimate: Duration::from_secs(5),
+            ..StepSpec::default()
+        }],
+        repeat: None,
+    }
+}
+
+/// A leader that has placed one task, and the agent of its VM `a`.
+struct SilentPair {
+    leader: JobScheduler,
+    table: AttemptTable,
+    key: AttemptKey,
+    now: MonoTime,
+}
+
+impl SilentPair {
+    fn new() -> Self {
+        let now = MonoTime::from_millis(1000);
+        let terms = LeaderTimeouts {
+            lease: LeaseLimits::new(Duration::from_secs(5)),
+            confirmation_timeout: Duration::from_secs(5),
+            retention: Duration::from_secs(100),
+        };
+        let mut leader = JobScheduler::new(terms, 1, "e".to_owned(), String::new(), now);
+        leader.add_job(JobCode::new(1), job(), WallTime::default());
+        let mut table = AttemptTable::new();
+        table.update_endpoint(EndpointInfo {
+            incarnation: EndpointIncarnation {
+                endpoint: "i-a".to_owned(),
+                started_at_millis: 1,
+            },
+            service: "s".to_owned(),
+            is_draining: false,
+            capacity: resources(8),
+            labels: Vec::new(),
+        });
+        table.set_synced();
+        let mut pair = Self {
+            leader,
+            table,
+            key: AttemptKey {
+                task: "0000000000000001.0.0.0".parse().unwrap(),
+                attempt: AttemptNumber::default(),
+            },
+            now,
+        };
+        // The leader accepts VMs whose agents know its epoch.
+        pair.exchange(Duration::ZERO);
+        pair.exchange(Duration::from_millis(20));
+        assert_eq!(pair.place(), 1);
+        pair
+    }
+
+    /// Lets the agent send the start once, with this answer of the worker.
+    fn with_start(mut self, answer: StartAnswer) -> Self {
+        let orders = self.exchange(Duration::from_millis(20));
+        self.key = read_key(orders.starts[0].key.as_ref()).unwrap();
+        assert_eq!(self.take_starts(), vec![self.key]);
+        self.table.handle_start_answer(self.key, answer, self.now);
+        self
+    }
+
+    fn report(&self) -> VmReport {
+        self.table.report("a", "morava-a", self.now)
+    }
+
+    /// Passes `after`, then reports to the leader and applies its orders.
+    fn exchange(&mut self, after: Duration) -> v1::VmOrders {
+        self.now = self.now.after(after);
+        let report = self.report();
+        let wall = WallTime::default();
+        self.leader.handle_report(report, self.now, wall);
+        let orders = self.leader.orders("a", self.now).unwrap();
+        self.table.apply_orders(&orders, self.now).unwrap();
+        orders
+    }
+
+    /// Places what waits, and records it in the store.
+    fn place(&mut self) -> usize {
+        let wall = WallTime::default();
+        let count = self.leader.place(self.now, wall);
+        self.now = self.now.after(Duration::from_secs(1));
+        let plan = self.leader.begin_commit(self.now, wall).unwrap();
+        self.leader.commit_done(&plan, self.now);
+        count
+    }
+
+    fn take_starts(&mut self) -> Vec<AttemptKey> {
+        let commands = self.table.take_commands(self.now).into_iter();
+        commands
+            .filter_map(|command| match command {
+                WorkerCommand::Start(plan) => Some(plan.key),
+                WorkerCommand::Stop(_) => None,
+            })
+            .collect()
+    }
+
+    /// The worker answers again and lists nothing.
+    fn regain(&mut self) {
+        let mark = self.table.list_mark();
+        self.table.set_synced();
+        self.table.apply_lists(mark, WorkerLists::default());
+    }
+}
+
+/// Guards against two runs of one task: the leader has taken the task back, and it may run
+/// elsewhere, when the worker answers again under the same incarnation.
+#[rstest]
+#[case::unanswered(StartAnswer::Unknown)]
+#[case::not_sent(StartAnswer::NotSent)]
+fn start_from_before_the_leases_expired_is_not_repeated(#[case] answer: StartAnswer) {
+    let mut pair = SilentPair::new().with_start(answer);
+    pair.exchange(Duration::from_millis(400));
+    pair.table.set_crashed();
+    pair.leader
+        .handle_report(pair.report(), pair.now, WallTime::default());
+    pair.now = pair.now.after(Duration::from_millis(900));
+    pair.regain();
+    assert_eq!(pair.take_starts(), vec![]);
+}
+
+/// Guards against the same through orders that were on their way when the leases expired.
+#[test]
+fn orders_from_before_the_leases_expired_start_nothing() {
+    let mut pair = SilentPair::new();
+    let wall = WallTime::default();
+    pair.leader.handle_report(pair.report(), pair.now, wall);
+    let orders = pair.leader.orders("a", pair.now).unwrap();
+    assert_eq!(orders.starts.len(), 1);
+    pair.now = pair.now.after(Duration::from_millis(100));
+    pair.table.set_crashed();
+    pair.leader.handle_report(pair.report(), pair.now, wall);
+    pair.now = pair.now.after(Duration::from_millis(100));
+    pair.regain();
+    pair.table.apply_orders(&orders, pair.now).unwrap();
+    assert_eq!(pair.take_starts(), vec![]);
+}
+
+/// The VM is of use again as soon as the leader has heard of it.
+#[test]
+fn worker_that_answers_again_gets_new_attempts() {
+    let mut pair = SilentPair::new().with_start(StartAnswer::Unknown);
+    pair.table.set_crashed();
+    pair.exchange(Duration::from_millis(20));
+    pair.regain();
+    pair.exchange(Duration::from_millis(20));
+    // Of an attempt that may yet start, the worker has to be told first that it must not.
+    let stop = pair.table.take_commands(pair.now);
+    assert_eq!(stop, vec![WorkerCommand::Stop(pair.key)]);
+    pair.table
+        .handle_stop_answer(pair.key, StopAnswer::Accepted, pair.now);
+    pair.regain();
+    pair.exchange(Duration::from_millis(20));
+    assert_eq!(pair.place(), 1);
+    pair.exchange(Duration::from_millis(20));
+    let next = AttemptKey {
+        attempt: pair.key.attempt.next(),
+        ..pair.key
+    };
+    assert_eq!(pair.take_starts(), vec![next]);
+}
