Log the starts that an agent still has to send as its worker comes and goes

The logs could not tell an agent that repeats starts from before its worker's leases expired from a lease that outlived the agent's count: neither line said whether any start was pending. `leases have expired at an unresponsive worker` and `worker accepted the fencing token` now do.

--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -156,7 +156,8 @@
             if !was_synced {
                 info!("worker accepted the fencing token", kv: {
                     life = incarnation.to_string(), fence = request.fence,
-                    runs = core.table.attempt_count()
+                    runs = core.table.attempt_count(),
+                    pending_starts = core.table.pending_start_count()
                 });
             }
             let fence = core.fence;
@@ -189,7 +190,8 @@
             }
             if core.table.is_synced() && core.has_lease_expired(now) {
                 warn!("leases have expired at an unresponsive worker", kv: {
-                    life = incarnation.to_string()
+                    life = incarnation.to_string(), runs = core.table.attempt_count(),
+                    pending_starts = core.table.pending_start_count()
                 });
                 core.table.set_crashed();
                 state.report_due.notify_one();
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -265,6 +265,17 @@
         self.attempts.len()
     }
 
+    /// Returns the number of starts that have not been sent, or were sent and not answered.
+    pub fn pending_start_count(&self) -> usize {
+        let is_pending = |attempt: &&TrackedAttempt| {
+            matches!(
+                attempt.state,
+                AttemptState::StartDue | AttemptState::Starting
+            )
+        };
+        self.attempts.values().filter(is_pending).count()
+    }
+
     /// Returns the capacity that is left by all attempts that may be at the worker.
     fn free_capacity(&self) -> FreeCapacity {
         let info = self.endpoint_info.as_ref();
