Count the leases of an earlier agent before they are declared expired

Callers could see two runs of one task. Cause, by reading: an agent that has just started counted only the leases that it had sent itself, so none. Its first poll lists what an earlier agent started, under leases that may last six seconds more; if the worker stops answering before the first lease of the new agent, the leases were declared expired at once, and the leader started the tasks elsewhere.

Change: when a worker has accepted a new fencing token, the longest lease that an agent may have given it counts from that moment. The record of leases moves into the pure crate with its decision.

leases_of_an_earlier_agent_outlast_the_worker_s_silence fails without the change (run with that one line taken out).

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -10,7 +10,7 @@
 use spdlog::{info, warn};
 use tokio::sync::{Notify, watch};
 use turmeric_jobs::{
-    AttemptKey, AttemptTable, EndpointIncarnation, HeadroomSample, PolicySet, VmReport,
+    AttemptKey, AttemptTable, EndpointIncarnation, HeadroomSample, PolicySet, VmReport, WorkerLease,
 };
 use turmeric_platform::{CallClient, RegistryHeartbeat, StoreClient, WorkerCalls};
 use turmeric_schema::v1;
@@ -79,10 +79,8 @@
     pub(crate) headroom: Option<HeadroomSample>,
     /// Fencing token that this agent uses at the worker; zero before it has chosen one.
     pub(crate) fence: u64,
-    /// The worker's clock as last read.
-    pub(crate) clock_reading: Option<turmeric_jobs::ClockReading>,
-    /// Latest lease deadline sent to the worker in this incarnation, by the worker's clock.
-    pub(crate) deadline_millis: u64,
+    /// The leases at the worker in this incarnation.
+    pub(crate) lease: WorkerLease,
     heartbeat_sequence: u64,
     /// The worker did not answer the last long poll.
     pub(crate) is_unresponsive: bool,
@@ -146,8 +144,7 @@
         self.reduced_shares.clear();
         self.headroom = None;
         self.neighbours = NeighbourMeasurements::default();
-        self.clock_reading = None;
-        self.deadline_millis = 0;
+        self.lease = WorkerLease::new();
         self.is_unresponsive = false;
         self.table.clear_synced();
     }
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -10,7 +10,7 @@
     WorkerCommand, WorkerLists,
 };
 use turmeric_platform::{HoldAnswer, HoldRequest, WorkerAnswer};
-use turmeric_types::{MonoTime, ResourceSet};
+use turmeric_types::ResourceSet;
 
 use super::agent::{AgentCore, AgentState};
 use super::metrics::count;
@@ -35,13 +35,6 @@
 /// soon.
 const MAX_LEASE_TERM: Duration = Duration::from_secs(6);
 
-/// Maximum drift by which the worker's clock may be slow, in percent.
-const CLOCK_SLOW_PERCENT: u64 = 4;
-
-/// Time after a deadline until the leases at an unresponsive worker count as expired, in
-/// milliseconds.
-const LEASE_SLACK_MILLIS: u64 = 300;
-
 /// Maximum time between two checks for due commands or an incarnation to poll.
 const COMMAND_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -65,7 +58,7 @@
                 warn!("worker lost", kv: { life = incarnation, answer = format!("{answer:?}") });
             }
         }
-        let pause = handle_poll_answer(&state, &incarnation, &request, mark, answer);
+        let pause = handle_poll_answer(&state, &incarnation, &lease, &request, mark, answer);
         tokio::time::sleep(pause).await;
     }
 }
@@ -86,7 +79,7 @@
     // The leases of an unresponsive worker are not renewed, so that they expire.
     let deadline_millis = core.lease_deadline(lease).filter(|_| !core.is_unresponsive);
     if let Some(deadline) = deadline_millis {
-        core.deadline_millis = core.deadline_millis.max(deadline);
+        core.lease.record_deadline(deadline);
     }
     let request = HoldRequest {
         fence: core.fence,
@@ -100,26 +93,17 @@
 impl AgentCore {
     /// Returns the deadline of the current lease by the worker's clock, in milliseconds.
     fn lease_deadline(&self, lease: &LeaseLimits) -> Option<u64> {
-        let reading = self.clock_reading?;
+        let reading = self.lease.reading()?;
         let granted = self.table.grant()?.worker_deadline(lease, &reading);
         Some(granted.min(reading.worker_millis + MAX_LEASE_TERM.as_millis() as u64))
     }
-
-    /// Returns whether every lease sent to the worker has expired, even if its clock is slow.
-    fn has_lease_expired(&self, now: MonoTime) -> bool {
-        let Some(reading) = self.clock_reading else {
-            return false;
-        };
-        let elapsed = now.since(reading.received_at).as_millis() as u64;
-        let least = reading.worker_millis + elapsed * (100 - CLOCK_SLOW_PERCENT) / 100;
-        least > self.deadline_millis + LEASE_SLACK_MILLIS
-    }
 }
 
 /// Handles the answer to a long poll; returns how long to wait before the next.
 fn handle_poll_answer(
     state: &AgentState,
     incarnation: &EndpointIncarnation,
+    lease: &LeaseLimits,
     request: &HoldRequest,
     mark: u64,
     answer: HoldAnswer,
@@ -142,10 +126,13 @@
             }
             let was_synced = core.table.is_synced();
             core.is_unresponsive = false;
-            core.clock_reading = Some(ClockReading {
+            core.lease.record_reading(ClockReading {
                 received_at: now,
                 worker_millis: clock_millis,
             });
+            if !was_synced {
+                core.lease.record_fencing(lease);
+            }
             core.table.set_synced();
             let paced = core.update_paces(&running, now);
             let lists = WorkerLists {
@@ -188,7 +175,7 @@
                 core.is_unresponsive = true;
                 state.report_due.notify_one();
             }
-            if core.table.is_synced() && core.has_lease_expired(now) {
+            if core.table.is_synced() && core.lease.has_expired(now) {
                 warn!("leases have expired at an unresponsive worker", kv: {
                     life = incarnation.to_string(), runs = core.table.attempt_count(),
                     pending_starts = core.table.pending_start_count()
@@ -242,7 +229,7 @@
             };
             let commands = core.table.take_commands(now);
             if !commands.is_empty() {
-                core.deadline_millis = core.deadline_millis.max(deadline);
+                core.lease.record_deadline(deadline);
             }
             (commands, incarnation, core.fence, deadline)
         };
--- a/crates/turmeric-jobs/src/lease.rs
+++ b/crates/turmeric-jobs/src/lease.rs
@@ -61,3 +61,55 @@
         (reading.worker_millis + ahead).saturating_sub(behind)
     }
 }
+
+/// The leases under which a worker may be running attempts, as its agent knows them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WorkerLease {
+    reading: Option<ClockReading>,
+    /// Latest deadline that the worker may have been given, by its clock in milliseconds.
+    deadline_millis: u64,
+}
+
+impl WorkerLease {
+    /// Creates the record of a worker that has not answered this agent yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the worker's clock as last read.
+    pub fn reading(&self) -> Option<ClockReading> {
+        self.reading
+    }
+
+    /// Records the worker's clock as read from an answer.
+    pub fn record_reading(&mut self, reading: ClockReading) {
+        self.reading = Some(reading);
+    }
+
+    /// Records that the worker has accepted a new fencing token: until then, an earlier agent
+    /// may have renewed leases, of which this agent knows nothing.
+    pub fn record_fencing(&mut self, limits: &LeaseLimits) {
+        let Some(reading) = self.reading else {
+            return;
+        };
+        let longest = limits.wait().as_millis() as u64;
+        self.record_deadline(reading.worker_millis.saturating_add(longest));
+    }
+
+    /// Records a deadline that is sent to the worker.
+    pub fn record_deadline(&mut self, deadline_millis: u64) {
+        self.deadline_millis = self.deadline_millis.max(deadline_millis);
+    }
+
+    /// Returns whether all leases have expired although the worker does not answer, even if its
+    /// clock is slow.
+    pub fn has_expired(&self, now: MonoTime) -> bool {
+        let Some(reading) = self.reading else {
+            return false;
+        };
+        let elapsed = now.since(reading.received_at);
+        let least = elapsed - elapsed * CLOCK_SLOW_PERCENT / 100;
+        let clock_millis = reading.worker_millis.saturating_add(least.as_millis() as u64);
+        clock_millis.saturating_sub(self.deadline_millis) > END_SLACK.as_millis() as u64
+    }
+}
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -30,7 +30,7 @@
 pub use election::{ElectionMonitor, ElectionStep, LeaderObservation, TakeoverCause};
 pub use estimates::{EstimateTable, StepEstimate};
 pub use headroom::{HeadroomSample, HeadroomTable, StepMeasurement};
-pub use lease::{ClockReading, LeaseGrant, LeaseLimits};
+pub use lease::{ClockReading, LeaseGrant, LeaseLimits, WorkerLease};
 pub use names::{AttemptKey, AttemptNumber, EndpointIncarnation, JobCode, NameError, TaskName};
 pub use order::{JobRank, JobUrgency, RankTier, RemainingWork, judge_urgency, rank_job};
 pub use pace::{BestEffortNeighbour, InterferenceTable, ServingNeighbour, choose_paces};
--- a/crates/turmeric-jobs/tests/silent_workers.rs
+++ b/crates/turmeric-jobs/tests/silent_workers.rs
@@ -6,9 +6,9 @@
 
 use rstest::rstest;
 use turmeric_jobs::{
-    AttemptKey, AttemptNumber, AttemptTable, EndpointIncarnation, EndpointInfo, JobCode,
-    JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, QueuePolicy, StartAnswer, StepSpec,
-    StopAnswer, VmReport, WorkerCommand, WorkerLists, read_key,
+    AttemptKey, AttemptNumber, AttemptTable, ClockReading, EndpointIncarnation, EndpointInfo,
+    JobCode, JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, QueuePolicy, StartAnswer,
+    StepSpec, StopAnswer, VmReport, WorkerCommand, WorkerLease, WorkerLists, read_key,
 };
 use turmeric_schema::v1;
 use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
@@ -196,3 +196,33 @@
     };
     assert_eq!(pair.take_starts(), vec![next]);
 }
+
+/// Guards against two runs of one task: an agent that has just started knows nothing of the
+/// leases that its earlier incarnation renewed, and its worker stops answering at once.
+#[test]
+fn leases_of_an_earlier_agent_outlast_the_worker_s_silence() {
+    let limits = LeaseLimits::new(Duration::from_secs(6));
+    let mut lease = WorkerLease::new();
+    assert!(!lease.has_expired(MonoTime::from_millis(60_000)));
+    lease.record_reading(ClockReading {
+        received_at: MonoTime::from_millis(1_000),
+        worker_millis: 500_000,
+    });
+    lease.record_fencing(&limits);
+    assert!(!lease.has_expired(MonoTime::from_millis(7_000)));
+    assert!(lease.has_expired(MonoTime::from_millis(9_000)));
+}
+
+/// A worker's clock may be slow, so its leases last longer than they say.
+#[test]
+fn lease_of_a_worker_with_a_slow_clock_has_not_expired_early() {
+    let mut lease = WorkerLease::new();
+    lease.record_reading(ClockReading {
+        received_at: MonoTime::from_millis(0),
+        worker_millis: 0,
+    });
+    lease.record_deadline(5_000);
+    lease.record_deadline(4_000);
+    assert!(!lease.has_expired(MonoTime::from_millis(5_000 * 102 / 100)));
+    assert!(lease.has_expired(MonoTime::from_millis(6_000)));
+}
