Count a leader as confirmed from when its write was begun

Callers could see two runs of one task. Cause, by reading: a leader counted as confirmed by the store when it read the answer to its write. Suspended while the answer was on its way, it woke up to 12 s of confirmed leadership though another entry had taken over, and went on to grant leases to agents that were cut off from the store. The successor waits for leases granted up to 12 s after its takeover, not for these.

Change: the confirmation counts from when the write, or the takeover, was begun, which is before the store had this entry as the leader. The time of the next write still counts from the answer.

answer_read_after_a_suspension_confirms_no_leader fails without the change.

--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -62,6 +62,8 @@
     pub(crate) epoch: u64,
     /// Version of the leader's row.
     pub(crate) version: u64,
+    /// When the takeover was sent to the store.
+    pub(crate) taken_over_at: MonoTime,
     /// Loads of the queues as the earlier leader last wrote them.
     pub(crate) queues: Vec<v1::QueueLoad>,
     /// Largest processor allocation of any entry that has led before.
@@ -161,6 +163,7 @@
         context.address.to_string(),
         context.clock.now(),
     )
+    .with_confirmation(grant.taken_over_at)
     .with_policies(context.policies)
     .with_loads(grant.queues.clone())
     .with_callers_address(context.callers.address.to_string())
--- a/crates/turmeric-daemon/src/hosted/leadership.rs
+++ b/crates/turmeric-daemon/src/hosted/leadership.rs
@@ -280,12 +280,14 @@
         ],
         removes: Vec::new(),
     };
+    let taken_over_at = context.clock.now();
     match context.store.transact(&request, CALL_TIMEOUT).await {
         TxAnswer::Done { version } => {
             info!("took over leadership", kv: { epoch = epoch, row_version = version });
             Some(LeadershipGrant {
                 epoch,
                 version,
+                taken_over_at,
                 queues: earlier.queues,
                 strongest,
             })
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -73,6 +73,8 @@
     commit_sequence: u64,
     is_committing: bool,
     committed_at: MonoTime,
+    /// When the last write that the store has confirmed was begun.
+    confirmed_at: MonoTime,
     order_sequence: u64,
     /// VMs to which new orders should be sent at once.
     pending_updates: BTreeSet<String>,
@@ -125,6 +127,7 @@
             commit_sequence: 0,
             is_committing: false,
             committed_at: now,
+            confirmed_at: now,
             order_sequence: 0,
             pending_updates: BTreeSet::new(),
             is_releasing: false,
@@ -149,6 +152,12 @@
         self
     }
 
+    /// Counts as confirmed by the store since `at`, when the takeover was begun.
+    pub fn with_confirmation(mut self, at: MonoTime) -> Self {
+        self.confirmed_at = at;
+        self
+    }
+
     /// Publishes the earlier leader's queue loads until enough VMs have reported.
     pub fn with_loads(mut self, loads: Vec<v1::QueueLoad>) -> Self {
         self.loads = loads;
--- a/crates/turmeric-jobs/src/scheduler/commit.rs
+++ b/crates/turmeric-jobs/src/scheduler/commit.rs
@@ -38,6 +38,8 @@
     pub headroom: Option<Vec<u8>>,
     /// Jobs whose rows are all deleted.
     pub forgotten: Vec<JobCode>,
+    /// When the write was begun.
+    begun_at: MonoTime,
     /// Revision of each job in `progress`.
     revisions: Vec<(JobCode, u64)>,
 }
@@ -88,6 +90,7 @@
             leader_row: self.leader_row(now, wall).encode_to_vec(),
             progress,
             forgotten,
+            begun_at: now,
             revisions,
         })
     }
@@ -110,6 +113,8 @@
     pub fn commit_done(&mut self, plan: &CommitPlan, now: MonoTime) {
         self.is_committing = false;
         self.committed_at = now;
+        // The answer may have been on its way while this entry was suspended, and replaced.
+        self.confirmed_at = plan.begun_at;
         for (code, revision) in &plan.revisions {
             if let Some(job) = self.jobs.get_mut(code) {
                 job.recorded_revision = *revision;
@@ -135,8 +140,8 @@
         }
     }
 
-    /// Returns when the store last confirmed that this entry is the leader.
+    /// Returns the latest time at which the store is known to have had this entry as the leader.
     pub fn confirmed_at(&self) -> MonoTime {
-        self.committed_at
+        self.confirmed_at
     }
 }
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -320,7 +320,7 @@
             self.lose_all(&name);
         }
         // An evicted task resumes elsewhere only after the store has recorded its new attempt.
-        if now <= self.committed_at.after(EVICTION_CONFIRMATION_TIMEOUT) {
+        if now <= self.confirmed_at.after(EVICTION_CONFIRMATION_TIMEOUT) {
             self.evict_stalled(now);
             self.evict_slowed(now);
             self.evict_draining(now);
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -85,7 +85,7 @@
             keep: keep.iter().map(write_key).collect(),
             recorded_end: vm.recorded_end(),
             sequence,
-            store_silence_millis: now.since(self.committed_at).as_millis() as u64,
+            store_silence_millis: now.since(self.confirmed_at).as_millis() as u64,
             gains: self.interference(name),
         })
     }
--- a/crates/turmeric-jobs/tests/leaving.rs
+++ b/crates/turmeric-jobs/tests/leaving.rs
@@ -404,3 +404,17 @@
     scheduler.commit_done(&plan, now);
     assert!(!scheduler.describe_load(now, wall).is_empty());
 }
+
+/// A leader that is suspended while the answer to its write is on its way may have been replaced
+/// when it reads the answer. It must not order anything on the strength of it.
+#[test]
+fn answer_read_after_a_suspension_confirms_no_leader() {
+    let mut pair = RunningPair::new();
+    let begun_at = pair.now.after(Duration::from_secs(1));
+    let plan = pair.leader.begin_commit(begun_at, pair.wall).unwrap();
+    let now = begun_at.after(Duration::from_secs(14));
+    pair.leader.commit_done(&plan, now);
+    assert_eq!(pair.leader.confirmed_at(), begun_at);
+    let orders = pair.leader.orders("a", now).unwrap();
+    assert_eq!(orders.store_silence_millis, 14_000);
+}
