Count no crash before another incarnation is seen

Cause: the agent reported that an incarnation had crashed as soon as its leases had expired, and the leader counted at once. A suspect that was away twice was given up. `record_lease_loss` counted leases that expired without news of the agent in the same way.

Change: expired leases return the tasks (cause `leases_expired`) and count nothing. The agent keeps the attempts in its table; if another incarnation begins without the last one having announced its end, it reports the crash with them. They are named as unconfirmed then, since the leases may have expired before the crash. A crash of the current incarnation, as earlier versions report it, is ignored.

Tests: silent_worker_that_answers_again_counts_as_no_crash and leases_that_expire_without_news_count_as_no_crash failed before (the job was given up; 3 crashes counted). crash_that_is_learned_of_late_counts passed before too: it keeps the bound on starts over takeovers. The fake VMs of crashes.rs report crashes as agents do, by the attempts that were running.

--- a/crates/turmeric-daemon/src/hosted/decision_log.rs
+++ b/crates/turmeric-daemon/src/hosted/decision_log.rs
@@ -201,6 +201,7 @@
     match cause {
         LossCause::LeaseExpired => "lease_over",
         LossCause::Crashed => "crashed",
+        LossCause::LeasesExpired => "leases_expired",
         LossCause::OtherIncarnation => "other_life",
         LossCause::IncarnationEnded => "life_over",
         LossCause::Refused => "refused",
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -193,7 +193,7 @@
                     life = incarnation.to_string(), runs = core.table.attempt_count(),
                     pending_starts = core.table.pending_start_count()
                 });
-                core.table.set_crashed(now);
+                core.table.set_expired(now);
                 state.report_due.notify_one();
             }
             RETRY_INTERVAL
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -200,7 +200,8 @@
         true
     }
 
-    /// Records that the current incarnation crashed, unless it has announced its end.
+    /// Records that the current incarnation crashed, unless it has announced its end; another
+    /// one has begun.
     fn record_crash(&mut self) {
         let Some(info) = &self.endpoint_info else {
             return;
@@ -214,7 +215,9 @@
         };
         let running = self.attempts.iter();
         let running = running.filter(|(_, attempt)| may_have_run(attempt));
-        let unconfirmed = running.clone().filter(|(_, attempt)| !attempt.is_confirmed);
+        // Attempts whose leases expired before may have ended before the crash.
+        let is_uncertain = |attempt: &TrackedAttempt| self.is_terminated || !attempt.is_confirmed;
+        let unconfirmed = running.clone().filter(|(_, attempt)| is_uncertain(attempt));
         self.crash = Some(IncarnationCrash {
             incarnation: info.incarnation.clone(),
             attempts: running.map(|(key, _)| *key).collect(),
@@ -250,10 +253,11 @@
         self.set_terminated(now);
     }
 
-    /// Records that the worker has crashed: it does not answer, and the leases of all its
-    /// attempts have expired.
-    pub fn set_crashed(&mut self, now: MonoTime) {
-        self.record_crash();
+    /// Records that the leases of all attempts at a worker that does not answer have expired.
+    ///
+    /// The worker may be alive, and answer again in the same incarnation. Only a later
+    /// incarnation tells that it has crashed.
+    pub fn set_expired(&mut self, now: MonoTime) {
         self.set_terminated(now);
     }
 
--- a/crates/turmeric-jobs/src/attempts/orders.rs
+++ b/crates/turmeric-jobs/src/attempts/orders.rs
@@ -85,6 +85,8 @@
                 AttemptState::StartDue | AttemptState::Starting | AttemptState::Running
             );
             if !keep.contains(key) && is_stoppable {
+                // Its answer is not waited for.
+                attempt.may_have_run |= attempt.state == AttemptState::Starting;
                 attempt.state = AttemptState::StopDue;
                 attempt.retry_at = now;
             }
--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -146,8 +146,8 @@
     pub incarnation: EndpointIncarnation,
     /// Attempts that may have been running.
     pub attempts: BTreeSet<AttemptKey>,
-    /// Those of them whose start was never confirmed: the worker may have carried it out at
-    /// any time since.
+    /// Those of them that may not have been running: the worker never confirmed the start, which
+    /// it may have carried out at any time since, or their leases had expired before.
     pub unconfirmed: BTreeSet<AttemptKey>,
 }
 
--- a/crates/turmeric-jobs/src/scheduler/crashes.rs
+++ b/crates/turmeric-jobs/src/scheduler/crashes.rs
@@ -133,18 +133,6 @@
         self.fail_crashed_jobs(wall);
     }
 
-    /// Counts lost leases as crashes for tasks that have crashed an endpoint before, as far as
-    /// anybody knows: nobody was there to tell what became of this one.
-    pub(super) fn record_lease_loss(&mut self, name: &str, lost: &[(AttemptKey, VmAttempt)]) {
-        for (key, attempt) in lost {
-            let job = self.jobs.get(&key.task.job);
-            let state = job.and_then(|job| job.tasks.get(&key.task));
-            if state.is_some_and(|state| state.crashes.is_suspect) && !attempt.is_unsent() {
-                self.record_task_crash(name, *key, CrashEvidence::Unclear);
-            }
-        }
-    }
-
     /// Fails the jobs of tasks that were given up since the last round of placement.
     pub(super) fn fail_crashed_jobs(&mut self, wall: WallTime) {
         for code in std::mem::take(&mut self.crashed_jobs) {
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -61,7 +61,7 @@
         if report.is_terminated {
             // A leader that has just taken over may get no other report of this incarnation.
             self.apply_ends(&report, now, wall);
-            self.lose_current_incarnation(&report, crashed_at, wall);
+            self.lose_current_incarnation(&report);
             return;
         }
         if !report.is_synced {
--- a/crates/turmeric-jobs/src/scheduler/losses.rs
+++ b/crates/turmeric-jobs/src/scheduler/losses.rs
@@ -92,26 +92,19 @@
         }
     }
 
-    pub(super) fn lose_current_incarnation(
-        &mut self,
-        report: &VmReport,
-        at: Option<MonoTime>,
-        wall: WallTime,
-    ) {
-        let name = &report.vm;
-        let info = self.vms.get(name).and_then(|vm| vm.info.as_ref());
-        let has_crashed = report
-            .crash
-            .as_ref()
-            .is_some_and(|crash| info.is_some_and(|info| info.incarnation == crash.incarnation));
-        let is_lost =
-            |vm: &VmState, attempt: &VmAttempt| vm.is_current_incarnation(&attempt.location);
-        if has_crashed {
-            let lost = self.lose_where(name, LossCause::Crashed, is_lost);
-            self.record_reported_crash(report, &lost, at, wall);
+    /// Loses the attempts of an incarnation that has left, or that does not answer while their
+    /// leases have expired.
+    pub(super) fn lose_current_incarnation(&mut self, report: &VmReport) {
+        let info = report.endpoint_info.as_ref();
+        let has_left = !report.is_unresponsive || info.is_some_and(|info| info.is_draining);
+        let cause = if has_left {
+            LossCause::IncarnationEnded
         } else {
-            self.lose_where(name, LossCause::IncarnationEnded, is_lost);
-        }
+            LossCause::LeasesExpired
+        };
+        self.lose_where(&report.vm, cause, |vm, attempt| {
+            vm.is_current_incarnation(&attempt.location)
+        });
     }
 
     fn record_reported_crash(
@@ -121,13 +114,18 @@
         at: Option<MonoTime>,
         wall: WallTime,
     ) {
+        // An earlier version of the agent takes an incarnation that does not answer for one that
+        // has crashed.
+        let current = report.endpoint_info.as_ref().map(|info| &info.incarnation);
+        let crash = report.crash.as_ref();
+        let crash = crash.filter(|crash| current != Some(&crash.incarnation));
         let notice = CrashNotice {
             lost,
-            report: report.crash.as_ref(),
+            report: crash,
             at,
         };
         // An agent repeats the news of a crash until it hears from the leader.
-        let incarnation = report.crash.as_ref().map(|crash| &crash.incarnation);
+        let incarnation = crash.map(|crash| &crash.incarnation);
         let Some(vm) = self.vms.get_mut(&report.vm) else {
             return;
         };
@@ -141,8 +139,7 @@
     }
 
     pub(super) fn lose_all(&mut self, name: &str) {
-        let lost = self.lose_where(name, LossCause::LeaseExpired, |_, _| true);
-        self.record_lease_loss(name, &lost);
+        self.lose_where(name, LossCause::LeaseExpired, |_, _| true);
     }
 
     /// Removes the attempts for which `is_lost` holds and returns their tasks to the queue.
--- a/crates/turmeric-jobs/src/scheduler/notes.rs
+++ b/crates/turmeric-jobs/src/scheduler/notes.rs
@@ -28,9 +28,10 @@
 pub enum LossCause {
     /// The agent sent no report until the leases on its VM had certainly expired.
     LeaseExpired,
-    /// The endpoint crashed: it has another incarnation than the attempt's, or its leases
-    /// expired, and it was not draining.
+    /// The endpoint crashed: it has another incarnation than the attempt's, and was not draining.
     Crashed,
+    /// The agent reported that the worker does not answer, and that its leases have expired.
+    LeasesExpired,
     /// The endpoint was draining, and has another incarnation than the attempt's.
     OtherIncarnation,
     /// The agent reported that the endpoint's incarnation has ended.
--- a/crates/turmeric-jobs/tests/crashes.rs
+++ b/crates/turmeric-jobs/tests/crashes.rs
@@ -5,10 +5,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use rstest::rstest;
 use turmeric_jobs::{
     AttemptEnd, AttemptKey, AttemptStatus, AttemptTable, EndKind, EndpointIncarnation,
-    EndpointInfo, JobCode, JobPhase, JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits,
-    QueuePolicy, StartAnswer, StepSpec, VmReport, WorkerCommand, WorkerLists, read_key,
+    EndpointInfo, IncarnationCrash, JobCode, JobEvent, JobPhase, JobScheduler, JobSpec,
+    LeaderTimeouts, LeaseLimits, QueuePolicy, StartAnswer, StepSpec, VmReport, WorkerCommand,
+    WorkerLists, read_key,
 };
 use turmeric_schema::{Message, v1};
 use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
@@ -36,6 +38,8 @@
     back_at: Option<u64>,
     /// Its agent has not fenced the current incarnation yet.
     is_new: bool,
+    /// What its agent knows of the last crash, until the leader knows of a later incarnation.
+    crash: Option<IncarnationCrash>,
 }
 
 /// A leader with the store's rows and some VMs.
@@ -149,6 +153,17 @@
     /// Crashes an endpoint; it is back some seconds later with nothing running.
     fn crash(&mut self, number: usize) {
         let vm = &mut self.vms[number];
+        if vm.back_at.is_some() {
+            return;
+        }
+        vm.crash = Some(IncarnationCrash {
+            incarnation: EndpointIncarnation {
+                endpoint: format!("i-{number}"),
+                started_at_millis: vm.incarnation,
+            },
+            attempts: vm.running.keys().copied().collect(),
+            unconfirmed: BTreeSet::new(),
+        });
         vm.running.clear();
         vm.ends.clear();
         vm.back_at = Some(self.round + RESTART_ROUNDS);
@@ -184,7 +199,7 @@
             ends: vm.ends.clone(),
             refused: Vec::new(),
             applied_orders: 0,
-            crash: None,
+            crash: vm.crash.clone().filter(|_| vm.back_at.is_none()),
             headroom: None,
         }
     }
@@ -218,6 +233,10 @@
 
     fn apply_orders(&mut self, number: usize, orders: &v1::VmOrders) {
         let mut has_crashed = false;
+        let vm = &mut self.vms[number];
+        if vm.back_at.is_none() && orders.born == vm.incarnation {
+            vm.crash = None;
+        }
         for start in &orders.starts {
             let key = read_key(start.key.as_ref()).unwrap();
             let (job, index) = (key.task.job, key.task.index);
@@ -410,3 +429,169 @@
     table.apply_lists(table.list_mark(), WorkerLists::default());
     assert_eq!(table.take_commands(now).len(), 1);
 }
+
+/// A leader with one VM and the attempt table of its agent.
+struct Pair {
+    fleet: Fleet,
+    table: AttemptTable,
+}
+
+impl Pair {
+    fn new() -> Self {
+        let fleet = Fleet::new(1);
+        let mut table = AttemptTable::new();
+        table.update_endpoint(fleet.report(0).endpoint_info.unwrap());
+        table.set_synced();
+        Self { fleet, table }
+    }
+
+    fn advance(&mut self, millis: u64) {
+        self.fleet.round += millis / ROUND;
+    }
+
+    /// Sends the agent's report to the leader.
+    fn report(&mut self, is_unresponsive: bool) {
+        let (now, wall) = (self.fleet.now(), self.fleet.wall());
+        let report = VmReport {
+            is_unresponsive,
+            ..self.table.report("w0", "morava-a", now)
+        };
+        let report = VmReport::read(report.write()).unwrap();
+        self.fleet.leader.handle_report(report, now, wall);
+    }
+
+    /// Lets the leader place its task, and the agent send the start, which is answered so.
+    fn start(&mut self, answer: StartAnswer) -> AttemptKey {
+        // The agent learns of the leader first.
+        self.report(false);
+        let now = self.fleet.now();
+        let orders = self.fleet.leader.orders("w0", now).unwrap();
+        assert!(self.table.apply_orders(&orders, now).unwrap());
+        self.advance(ROUND);
+        self.report(false);
+        let (now, wall) = (self.fleet.now(), self.fleet.wall());
+        assert_eq!(self.fleet.leader.place(now, wall), 1);
+        self.advance(ROUND);
+        let now = self.fleet.now();
+        let plan = self.fleet.leader.begin_commit(now, wall).unwrap();
+        self.fleet.progress.extend(plan.progress.iter().cloned());
+        self.fleet.leader.commit_done(&plan, now);
+        let orders = self.fleet.leader.orders("w0", now).unwrap();
+        assert!(self.table.apply_orders(&orders, now).unwrap());
+        let commands = self.table.take_commands(now);
+        let [WorkerCommand::Start(start)] = commands.as_slice() else {
+            panic!("{commands:?}");
+        };
+        self.table.handle_start_answer(start.key, answer, now);
+        start.key
+    }
+
+    /// The worker does not answer until its leases have expired.
+    fn expire(&mut self) {
+        self.advance(100);
+        self.report(true);
+        self.advance(6000);
+        self.table.set_expired(self.fleet.now());
+        self.report(true);
+    }
+
+    /// The worker answers again, under the same incarnation.
+    fn answer_again(&mut self, key: AttemptKey, number: u64) {
+        self.advance(100);
+        self.table.set_synced();
+        let end = AttemptEnd {
+            number,
+            key,
+            kind: EndKind::Lapsed,
+            checkpoint: String::new(),
+        };
+        let lists = WorkerLists {
+            running: Vec::new(),
+            ends: vec![end],
+        };
+        self.table.apply_lists(self.table.list_mark(), lists);
+        self.report(false);
+    }
+
+    /// The endpoint is back in a new incarnation, without having announced that it leaves.
+    fn restart(&mut self) {
+        self.fleet.vms[0].incarnation += 1;
+        let info = self.fleet.report(0).endpoint_info.unwrap();
+        assert!(self.table.update_endpoint(info));
+        self.report(false);
+        self.table.set_synced();
+        self.table
+            .apply_lists(self.table.list_mark(), WorkerLists::default());
+        self.report(false);
+    }
+
+    fn crash_count(&mut self) -> usize {
+        let (events, _) = self.fleet.leader.take_events();
+        let is_crash = |event: &&JobEvent| matches!(event, JobEvent::Crashed { .. });
+        events.iter().filter(is_crash).count()
+    }
+}
+
+/// A worker that answers nothing until its leases have expired, and then goes on, has not
+/// crashed, though its attempts have lapsed.
+#[test]
+fn silent_worker_that_answers_again_counts_as_no_crash() {
+    let mut pair = Pair::new();
+    let code = pair.fleet.submit(1, 1, 1);
+    for number in 1..6 {
+        let key = pair.start(StartAnswer::Started);
+        pair.expire();
+        pair.answer_again(key, number);
+    }
+    assert_eq!(pair.crash_count(), 0);
+    assert_eq!(pair.fleet.phase(code), JobPhase::Running);
+}
+
+/// The agent of a VM is cut off for longer than the leases; its endpoint has not crashed.
+#[test]
+fn leases_that_expire_without_news_count_as_no_crash() {
+    let mut pair = Pair::new();
+    let code = pair.fleet.submit(1, 1, 1);
+    // The first crash makes the task a suspect.
+    pair.start(StartAnswer::Started);
+    pair.advance(100);
+    pair.report(true);
+    pair.restart();
+    assert_eq!(pair.crash_count(), 1);
+    for number in 1..4 {
+        let key = pair.start(StartAnswer::Started);
+        pair.advance(20_000);
+        pair.fleet.leader.tick(pair.fleet.now());
+        pair.answer_again(key, number);
+    }
+    assert_eq!(pair.crash_count(), 0);
+    assert_eq!(pair.fleet.phase(code), JobPhase::Running);
+}
+
+/// A worker is silent beyond its leases and turns out to have crashed; another leader took over
+/// meanwhile. The crash counts, and a task that goes on like that is given up.
+#[rstest]
+#[case::same_leader(false)]
+#[case::takeover(true)]
+fn crash_that_is_learned_of_late_counts(#[case] with_takeover: bool) {
+    let mut pair = Pair::new();
+    let code = pair.fleet.submit(1, 1, 1);
+    let mut starts = 0;
+    while pair.fleet.phase(code) != JobPhase::Failed {
+        pair.start(StartAnswer::Started);
+        starts += 1;
+        assert!(starts < 3 + FORBIDDEN_STARTS, "{starts} starts");
+        pair.expire();
+        pair.advance(100);
+        if with_takeover {
+            // The store has what the leader knew when the leases expired.
+            let (now, wall) = (pair.fleet.now(), pair.fleet.wall());
+            let plan = pair.fleet.leader.begin_commit(now, wall).unwrap();
+            pair.fleet.progress.extend(plan.progress.iter().cloned());
+            pair.fleet.take_over();
+        }
+        pair.advance(3000);
+        pair.restart();
+    }
+    assert!(starts >= 2);
+}
--- a/crates/turmeric-jobs/tests/silent_workers.rs
+++ b/crates/turmeric-jobs/tests/silent_workers.rs
@@ -148,7 +148,7 @@
 fn start_from_before_the_leases_expired_is_not_repeated(#[case] answer: StartAnswer) {
     let mut pair = SilentPair::new().with_start(answer);
     pair.exchange(Duration::from_millis(400));
-    pair.table.set_crashed(pair.now);
+    pair.table.set_expired(pair.now);
     pair.leader
         .handle_report(pair.report(), pair.now, WallTime::default());
     pair.now = pair.now.after(Duration::from_millis(900));
@@ -165,7 +165,7 @@
     let orders = pair.leader.orders("a", pair.now).unwrap();
     assert_eq!(orders.starts.len(), 1);
     pair.now = pair.now.after(Duration::from_millis(100));
-    pair.table.set_crashed(pair.now);
+    pair.table.set_expired(pair.now);
     pair.leader.handle_report(pair.report(), pair.now, wall);
     pair.now = pair.now.after(Duration::from_millis(100));
     pair.regain();
@@ -177,7 +177,7 @@
 #[test]
 fn worker_that_answers_again_gets_new_attempts() {
     let mut pair = SilentPair::new().with_start(StartAnswer::Unknown);
-    pair.table.set_crashed(pair.now);
+    pair.table.set_expired(pair.now);
     pair.exchange(Duration::from_millis(20));
     pair.regain();
     pair.exchange(Duration::from_millis(20));
