Skip odd values in what the platform's programs send

What operators saw: other users of the platform report processes that end, or stop following a list, over one odd entry by another writer. Cause: one value of another type, a number that is too large, deep nesting or bytes that are not UTF-8 made a whole answer of the store or the worker, the whole configuration or all boot settings unreadable, so that the reader got nothing at all, again and again. A value that is not base64 was read as empty, which is a valid message without fields. A heartbeat with a capacity of 1e300 was accepted; the leader adds up capacities. Ruled out: deep nesting ends no process. serde_json stops at 128 levels and skips unknown fields without recursion. Heartbeats of up to 4 MiB are accepted, as the platform's pages say; 2 MiB was the limit.

--- a/crates/turmeric-daemon/src/hosted/registry.rs
+++ b/crates/turmeric-daemon/src/hosted/registry.rs
@@ -5,7 +5,7 @@
 
 use axum::Router;
 use axum::body::Bytes;
-use axum::extract::{Path, State};
+use axum::extract::{DefaultBodyLimit, Path, State};
 use axum::http::StatusCode;
 use axum::routing::put;
 use eyre::{Result, WrapErr};
@@ -15,6 +15,9 @@
 
 use super::agent::AgentState;
 
+/// Maximum size of a heartbeat that the platform lets an endpoint send, in bytes.
+const HEARTBEAT_LIMIT: usize = 4 << 20;
+
 /// Accepts heartbeats and deregistrations on `address`.
 pub(crate) async fn serve_registry(address: SocketAddr, state: Arc<AgentState>) -> Result<()> {
     let listener = TcpListener::bind(address)
@@ -25,6 +28,7 @@
             "/executors/{endpoint}",
             put(handle_heartbeat).delete(handle_deregistration),
         )
+        .layer(DefaultBodyLimit::max(HEARTBEAT_LIMIT))
         .with_state(state);
     tokio::spawn(axum::serve(listener, router).into_future());
     Ok(())
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -142,10 +142,13 @@
             }
             let was_synced = core.table.is_synced();
             core.is_unresponsive = false;
-            core.clock_reading = Some(ClockReading {
-                received_at: now,
-                worker_millis: clock_millis,
-            });
+            // Without a time in the answer, the last reading stands; it bounds the leases.
+            if let Some(worker_millis) = clock_millis {
+                core.clock_reading = Some(ClockReading {
+                    received_at: now,
+                    worker_millis,
+                });
+            }
             core.table.set_synced();
             let paced = core.update_paces(&running, now);
             let lists = WorkerLists {
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -46,5 +46,5 @@
 };
 pub use scheduler::{CommitPlan, JobScheduler, LeaderTimeouts};
 pub use scheduler::{EvictionCause, JobEvent, LossCause};
-pub use spec::{JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
+pub use spec::{CORE_LIMIT, JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
 pub use store_health::{DeliveryOutcome, StoreHealth};
--- a/crates/turmeric-jobs/src/spec.rs
+++ b/crates/turmeric-jobs/src/spec.rs
@@ -164,8 +164,8 @@
 /// Longest estimate of a task, and longest interval between two occurrences of a job.
 const DURATION_LIMIT: Duration = Duration::from_secs(366 * 24 * 3600);
 
-/// Largest number of processors of a task, in thousandths.
-const CORE_LIMIT: u64 = 100_000_000;
+/// Largest number of processors of a task or a VM, in thousandths.
+pub const CORE_LIMIT: u64 = 100_000_000;
 
 impl JobSpec {
     /// Checks that the job can be scheduled.
