Let the worker confirm which incarnation of the endpoint is real

What operators saw: reports of odd heartbeats by another writer, after which the machine is not followed any more. Cause: a heartbeat that named another identifier, or a start in the future, replaced the real endpoint at once, and all real heartbeats then counted as older. One with a huge number hid all later ones, also the announced end. One with another service took the VM from its queue. A restart after a backward step of the wall clock was ignored for good. Change: the worker knows its own incarnation, so only its answers replace the known one: a heartbeat that names another is kept until the next list states a start, or until the worker rejects calls for the known endpoint. Within an incarnation, a heartbeat whose number or service does not continue the earlier ones holds only if the next one continues it, so that a first odd one hides two at most. An announced end stays announced. An incarnation that no worker confirmed overwrites no crash that the leader does not know of. The decisions are in the pure crate; the model of the schedules sends odd and late heartbeats to each agent, one in four polls. Not covered: a writer that guesses the next numbers of a heartbeat, its service and its incarnation cannot be told from the endpoint.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -10,7 +10,8 @@
 use spdlog::{info, warn};
 use tokio::sync::{Notify, watch};
 use turmeric_jobs::{
-    AttemptKey, AttemptTable, EndpointIncarnation, HeadroomSample, PolicySet, VmReport,
+    AttemptKey, AttemptTable, EndpointIncarnation, HeadroomSample, HeartbeatVerdict, PolicySet,
+    VmReport,
 };
 use turmeric_platform::{CallClient, RegistryHeartbeat, StoreClient, WorkerCalls};
 use turmeric_schema::v1;
@@ -83,7 +84,6 @@
     pub(crate) clock_reading: Option<turmeric_jobs::ClockReading>,
     /// Latest lease deadline sent to the worker in this incarnation, by the worker's clock.
     pub(crate) deadline_millis: u64,
-    heartbeat_sequence: u64,
     /// The worker did not answer the last long poll.
     pub(crate) is_unresponsive: bool,
 }
@@ -96,31 +96,35 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// Applies a heartbeat of the endpoint; ignores one that arrives after a later one.
+    /// Applies a heartbeat of the endpoint.
     pub(crate) fn apply_heartbeat(&self, heartbeat: RegistryHeartbeat) {
-        let mut core = self.core();
-        let is_same = core.table.incarnation() == Some(&heartbeat.info.incarnation);
-        if is_same && heartbeat.sequence <= core.heartbeat_sequence {
-            return;
-        }
         let is_draining = heartbeat.info.is_draining;
-        let incarnation = heartbeat.info.incarnation.clone();
-        let is_new = core.table.update_endpoint(heartbeat.info);
-        if is_new {
+        let incarnation = heartbeat.info.incarnation.to_string();
+        let mut core = self.core();
+        let verdict = core
+            .table
+            .handle_heartbeat(heartbeat.info, heartbeat.sequence);
+        if verdict == HeartbeatVerdict::Registered {
             core.begin_incarnation();
         }
-        if core.table.incarnation() == Some(&incarnation) {
-            core.heartbeat_sequence = heartbeat.sequence;
-        }
-        if is_new {
-            info!("endpoint started a new incarnation", kv: { life = incarnation.to_string() });
-        }
         drop(core);
-        if is_new {
-            self.incarnation_changed.notify_one();
-        }
-        if is_new || is_draining {
-            self.report_due.notify_one();
+        match verdict {
+            HeartbeatVerdict::Registered => {
+                self.incarnation_changed.notify_one();
+                self.report_due.notify_one();
+            }
+            HeartbeatVerdict::Applied if is_draining => self.report_due.notify_one(),
+            HeartbeatVerdict::Unconfirmed { is_first: true } => {
+                info!("a heartbeat names another incarnation; the worker is asked", kv: {
+                    life = incarnation
+                });
+            }
+            HeartbeatVerdict::Odd { reason } => {
+                warn!("heartbeat ignored", kv: { endpoint = incarnation, reason = reason });
+            }
+            HeartbeatVerdict::Applied
+            | HeartbeatVerdict::Late
+            | HeartbeatVerdict::Unconfirmed { is_first: false } => {}
         }
     }
 
@@ -141,8 +145,8 @@
 impl AgentCore {
     /// Discards the state of the endpoint's earlier incarnation.
     pub(crate) fn begin_incarnation(&mut self) {
-        // The numbers of heartbeats start anew with each incarnation.
-        self.heartbeat_sequence = 0;
+        let incarnation = self.table.incarnation().map(ToString::to_string);
+        info!("endpoint started a new incarnation", kv: { life = incarnation.unwrap_or_default() });
         self.reduced_shares.clear();
         self.headroom = None;
         self.neighbours = NeighbourMeasurements::default();
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -6,11 +6,11 @@
 
 use spdlog::{info, warn};
 use turmeric_jobs::{
-    ClockReading, EndpointIncarnation, EndpointInfo, LeaseLimits, StartAnswer, StopAnswer,
-    WorkerCommand, WorkerLists,
+    ClockReading, EndpointIncarnation, LeaseLimits, StartAnswer, StopAnswer, WorkerCommand,
+    WorkerLists,
 };
 use turmeric_platform::{HoldAnswer, HoldRequest, WorkerAnswer};
-use turmeric_types::{MonoTime, ResourceSet};
+use turmeric_types::MonoTime;
 
 use super::agent::{AgentCore, AgentState};
 use super::metrics::count;
@@ -136,8 +136,10 @@
             running,
             ends,
         } => {
-            if born != 0 && born != incarnation.started_at_millis {
-                core.adopt_incarnation(born);
+            if core.table.confirm_incarnation(mark, born) {
+                core.begin_incarnation();
+                drop(core);
+                state.report_due.notify_one();
                 return MIN_POLL_INTERVAL;
             }
             let was_synced = core.table.is_synced();
@@ -182,7 +184,12 @@
             MIN_POLL_INTERVAL
         }
         HoldAnswer::OtherLife => {
-            core.table.clear_synced();
+            if core.table.refute_endpoint() {
+                core.begin_incarnation();
+                drop(core);
+                state.report_due.notify_one();
+                return MIN_POLL_INTERVAL;
+            }
             RETRY_INTERVAL
         }
         HoldAnswer::Unknown { .. } => {
@@ -202,32 +209,6 @@
     }
 }
 
-impl AgentCore {
-    /// Adopts the incarnation that the worker reports, if it started at another time than the
-    /// known one.
-    fn adopt_incarnation(&mut self, started_at_millis: u64) {
-        let Some(incarnation) = self.table.incarnation().cloned() else {
-            return;
-        };
-        let info = self.table.endpoint_info().cloned().unwrap_or_default();
-        let is_new = self.table.update_endpoint(EndpointInfo {
-            incarnation: EndpointIncarnation {
-                started_at_millis,
-                ..incarnation
-            },
-            // What it has now is not known before its first heartbeat.
-            capacity: ResourceSet::default(),
-            labels: Vec::new(),
-            ..info
-        });
-        if is_new {
-            self.begin_incarnation();
-        } else {
-            self.table.clear_synced();
-        }
-    }
-}
-
 /// Carries out the commands that the leader's orders require until the process ends.
 pub(crate) async fn run_commands(state: Arc<AgentState>, lease: LeaseLimits) {
     loop {
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -4,6 +4,7 @@
 //! refused only once a stop of it was answered and a later list of the worker shows it
 //! neither running nor ended: a stopped attempt can never start.
 
+mod heartbeats;
 mod lists;
 mod orders;
 mod tracked;
@@ -17,6 +18,8 @@
     AttemptEnd, AttemptKey, AttemptStatus, EndpointIncarnation, EndpointInfo, IncarnationCrash,
     InterferenceTable, LeaseGrant, VmReport,
 };
+pub use heartbeats::HeartbeatVerdict;
+use heartbeats::{EndpointCandidate, HeartbeatRun};
 use tracked::{AttemptState, FreeCapacity, TrackedAttempt};
 
 /// Age at which orders no longer start attempts, because a zone may have been taken out of
@@ -98,7 +101,15 @@
 #[derive(Debug, Default)]
 pub struct AttemptTable {
     endpoint_info: Option<EndpointInfo>,
+    /// The heartbeats of the current incarnation; [`None`] before the first one.
+    heartbeats: Option<HeartbeatRun>,
+    /// The last heartbeat that did not continue them.
+    outlier: Option<HeartbeatRun>,
+    /// Another incarnation that the last heartbeat names.
+    candidate: Option<EndpointCandidate>,
     is_synced: bool,
+    /// The worker has accepted this agent's fence in the current incarnation.
+    was_synced: bool,
     is_terminated: bool,
     /// The endpoint deregistered in its current incarnation.
     has_departed: bool,
@@ -173,37 +184,15 @@
         self.is_stopping = true;
     }
 
-    /// Updates the endpoint info.
-    ///
-    /// Returns whether a new incarnation began, of which nothing is known yet. Info from
-    /// an earlier incarnation is ignored.
-    pub fn update_endpoint(&mut self, endpoint_info: EndpointInfo) -> bool {
-        let known = self
-            .endpoint_info
-            .as_ref()
-            .map(|known| known.incarnation.clone());
-        if let Some(known) = &known {
-            if endpoint_info.incarnation.started_at_millis < known.started_at_millis {
-                return false;
-            }
-            if endpoint_info.incarnation == *known {
-                self.endpoint_info = Some(endpoint_info);
-                return false;
-            }
-        }
-        self.record_crash();
-        self.reset_incarnation();
-        self.expects_stale_attempts = known.is_some();
-        self.endpoint_info = Some(endpoint_info);
-        true
-    }
-
     /// Records that the current incarnation crashed, unless it has announced its end.
     fn record_crash(&mut self) {
         let Some(info) = &self.endpoint_info else {
             return;
         };
-        let is_known = |crash: &IncarnationCrash| crash.incarnation == info.incarnation;
+        // A crash that the leader does not know of outlasts an incarnation that no worker has
+        // confirmed.
+        let is_known =
+            |crash: &IncarnationCrash| crash.incarnation == info.incarnation || !self.was_synced;
         if self.has_departed || info.is_draining || self.crash.as_ref().is_some_and(is_known) {
             return;
         }
@@ -222,6 +211,7 @@
 
     fn reset_incarnation(&mut self) {
         self.is_synced = false;
+        self.was_synced = false;
         self.is_terminated = false;
         self.has_departed = false;
         self.attempts.clear();
@@ -234,6 +224,7 @@
     /// Records that the worker has accepted this agent's fence.
     pub fn set_synced(&mut self) {
         self.is_synced = true;
+        self.was_synced = true;
         self.is_terminated = false;
     }
 
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -22,7 +22,9 @@
 mod store_health;
 
 pub use admission::{AdmissionDecision, QueueDelay, WorkDelay, admit};
-pub use attempts::{AttemptTable, StartAnswer, StartPlan, StopAnswer, WorkerCommand, WorkerLists};
+pub use attempts::{
+    AttemptTable, HeartbeatVerdict, StartAnswer, StartPlan, StopAnswer, WorkerCommand, WorkerLists,
+};
 pub use crashes::{
     ATTRIBUTION_WINDOW, CrashEvidence, CrashRecord, CrashVerdict, SHARED_WINDOW, StartTime,
     weigh_crash,
--- a/crates/turmeric-jobs/tests/crashes.rs
+++ b/crates/turmeric-jobs/tests/crashes.rs
@@ -396,7 +396,7 @@
     let orders = fleet.leader.orders("w0", now).unwrap();
 
     let mut table = AttemptTable::new();
-    table.update_endpoint(fleet.report(0).endpoint_info.unwrap());
+    table.handle_heartbeat(fleet.report(0).endpoint_info.unwrap(), 1);
     table.set_synced();
     let now = MonoTime::from_millis(orders.stamp_millis);
     assert!(table.apply_orders(&orders, now).unwrap());
--- a/crates/turmeric-jobs/tests/leaving.rs
+++ b/crates/turmeric-jobs/tests/leaving.rs
@@ -297,7 +297,7 @@
     let mut pair = RunningPair::new();
     let info = report("a", false, 1000, Vec::new()).endpoint_info.unwrap();
     let mut table = AttemptTable::new();
-    table.update_endpoint(info);
+    table.handle_heartbeat(info, 1);
     table.set_synced();
     let mut doubts = |leader: &mut JobScheduler, now: MonoTime| {
         let orders = leader.orders("a", now).unwrap();
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -9,8 +9,9 @@
 use proptest::prelude::*;
 use proptest::test_runner::TestCaseError;
 use turmeric_jobs::{
-    AttemptKey, AttemptTable, ClockReading, CommitPlan, JobCode, JobPhase, JobScheduler, JobSpec,
-    LeaderTimeouts, LeaseLimits, QueuePolicy, StepSpec, TaskName, VmReport, WorkerCommand,
+    AttemptKey, AttemptTable, ClockReading, CommitPlan, EndpointInfo, JobCode, JobPhase,
+    JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, QueuePolicy, StepSpec, TaskName, VmReport,
+    WorkerCommand,
 };
 use turmeric_schema::{Message, v1};
 use turmeric_types::{
@@ -114,6 +115,7 @@
     workers: Vec<ModelWorker>,
     next_job: u64,
     next_fence: u64,
+    next_heartbeat: u64,
     recorded_done: BTreeSet<TaskName>,
     /// Crashes of workers under each task.
     crashes: BTreeMap<TaskName, usize>,
@@ -160,6 +162,41 @@
     }
 }
 
+/// Returns a heartbeat that another writer sends, or that arrives late.
+fn odd_heartbeat(
+    info: &EndpointInfo,
+    last: u64,
+    random: &mut SplitMixRandom,
+) -> (EndpointInfo, u64) {
+    let mut odd = info.clone();
+    odd.capacity.cores = CoreCount::from_millicores(80 * TASK_MILLICORES);
+    let far = 1_000_000 + random.next_bits() % (1 << 50);
+    let number = match random.next_bits() % 6 {
+        0 => {
+            odd.incarnation.started_at_millis = far;
+            1
+        }
+        1 => {
+            odd.incarnation.started_at_millis -= 1;
+            last
+        }
+        2 => {
+            odd.incarnation.endpoint = format!("i-{far}");
+            1
+        }
+        3 => {
+            odd.service = "another".to_owned();
+            last + 1
+        }
+        4 => {
+            odd.is_draining = true;
+            far
+        }
+        _ => far,
+    };
+    (odd, number)
+}
+
 impl World {
     pub fn new() -> Self {
         Self::with_fault(None)
@@ -175,6 +212,7 @@
             workers: names.iter().map(|name| ModelWorker::new(name)).collect(),
             next_job: 0,
             next_fence: 1,
+            next_heartbeat: 0,
             recorded_done: BTreeSet::new(),
             crashes: BTreeMap::new(),
             violations: Vec::new(),
@@ -206,9 +244,7 @@
 
     fn new_agent(&mut self, number: usize) -> ModelAgent {
         let mut table = AttemptTable::new();
-        if !self.workers[number].has_left {
-            table.update_endpoint(self.workers[number].info());
-        }
+        self.send_heartbeats(number, &mut table);
         self.next_fence += 1;
         ModelAgent {
             table,
@@ -217,6 +253,22 @@
         }
     }
 
+    /// Sends the worker's heartbeat to a table, now and then after an odd one by another writer.
+    fn send_heartbeats(&mut self, number: usize, table: &mut AttemptTable) {
+        let worker = &self.workers[number];
+        if worker.has_left {
+            return;
+        }
+        let info = worker.info();
+        let mut random = SplitMixRandom::new(self.now * 3 + number as u64);
+        if random.next_bits().is_multiple_of(4) {
+            let (odd, odd_number) = odd_heartbeat(&info, self.next_heartbeat, &mut random);
+            table.handle_heartbeat(odd, odd_number);
+        }
+        self.next_heartbeat += 1;
+        table.handle_heartbeat(info, self.next_heartbeat);
+    }
+
     pub fn apply(&mut self, event: &WorldEvent) {
         match event {
             WorldEvent::Submit { long_running } => {
@@ -360,15 +412,21 @@
     /// Polls a worker once, as its agent's loop does.
     fn poll_worker(&mut self, number: usize) {
         let now = self.mono();
-        let worker = &mut self.workers[number];
-        let agent = &mut self.agents[number];
-        if worker.has_left {
+        if self.workers[number].has_left {
             return;
         }
+        let mut table = std::mem::take(&mut self.agents[number].table);
+        self.send_heartbeats(number, &mut table);
+        let worker = &mut self.workers[number];
+        let agent = &mut self.agents[number];
+        agent.table = table;
         let info = worker.info();
-        if agent.table.update_endpoint(info.clone()) {
-            agent.reading = None;
-            agent.table.clear_synced();
+        let known = agent.table.incarnation().map(|known| &known.endpoint);
+        if known != Some(&info.incarnation.endpoint) {
+            if agent.table.refute_endpoint() {
+                agent.reading = None;
+            }
+            return;
         }
         if !agent.table.is_synced() {
             self.next_fence += 1;
@@ -385,6 +443,11 @@
             agent.table.clear_synced();
             return;
         };
+        let started_at_millis = info.incarnation.started_at_millis;
+        if agent.table.confirm_incarnation(mark, started_at_millis) {
+            agent.reading = None;
+            return;
+        }
         agent.reading = Some(ClockReading {
             received_at: now,
             worker_millis: worker.clock(self.now),
