Check the jobs that the intake table holds, and saturate their counts

Cause: by reading, a row of the intake table by another writer was taken for a job without the checks of an accepted one: a count of four billion tasks would end each leader in turn, out of memory, and an empty value is a job without steps. In a caller's job, the number of tasks over all occurrences could overflow 64 bits before it was checked: a panic in a debug build, a wrong number of tasks in a release build. A long critical path times the stretch of its queue could overflow in the same way. Change: the leader checks each job that it reads, and the arithmetic saturates. Measured: the new case of `invalid_job_is_rejected_with_the_reason` failed before with "attempt to multiply with overflow" and passes now.

--- a/crates/turmeric-daemon/src/hosted/intake.rs
+++ b/crates/turmeric-daemon/src/hosted/intake.rs
@@ -85,11 +85,11 @@
     let (kind, code) = row.key.split_once('-')?;
     let code: JobCode = code.parse().ok()?;
     match kind {
-        "j" => match v1::JobIntake::decode(value.as_slice()) {
-            Ok(message) => Some(IntakeRow::Job(code, JobSpec::read(message))),
-            Err(error) => {
+        "j" => match decode_job(value) {
+            Ok(spec) => Some(IntakeRow::Job(code, spec)),
+            Err(reason) => {
                 warn!("the intake row of a job cannot be decoded", kv: {
-                    job = code.to_string(), reason = error.to_string()
+                    job = code.to_string(), reason = reason
                 });
                 None
             }
@@ -99,6 +99,15 @@
     }
 }
 
+/// Decodes a job. Entries write only jobs that can be scheduled, but other programs may write
+/// to the store too.
+fn decode_job(value: &[u8]) -> Result<JobSpec, String> {
+    let message = v1::JobIntake::decode(value).map_err(|error| error.to_string())?;
+    let spec = JobSpec::read(message);
+    spec.check().map_err(|error| error.to_string())?;
+    Ok(spec)
+}
+
 /// Outcome of a write to the intake table.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum WriteOutcome {
--- a/crates/turmeric-jobs/src/spec.rs
+++ b/crates/turmeric-jobs/src/spec.rs
@@ -174,12 +174,8 @@
     ///
     /// See [`SpecError`].
     pub fn check(&self) -> Result<(), SpecError> {
-        let count = self.occurrences() as u64
-            * self
-                .steps
-                .iter()
-                .map(|step| u64::from(step.count))
-                .sum::<u64>();
+        let counts = self.steps.iter().map(|step| u64::from(step.count));
+        let count = u64::from(self.occurrences()).saturating_mul(counts.sum());
         if count == 0 {
             return Err(SpecError::Empty);
         }
@@ -257,7 +253,9 @@
 
     /// Returns the time within which the caller wants the job done.
     pub fn objective(&self) -> Duration {
-        self.critical_path() * self.queue.stretch_permille / 1000 + self.queue.objective
+        let path = self.critical_path();
+        let stretched = path.saturating_mul(self.queue.stretch_permille) / 1000;
+        stretched.saturating_add(self.queue.objective)
     }
 
     /// Returns the estimated work of one occurrence, in core-milliseconds.
