Never start over with the first epoch after an odd leader's row

Cause: a leader's row that cannot be decoded, or that another program removed, counted as one of epoch zero, so the next leader took epoch 1. Agents reject an epoch that is lower than one that they know, so none of them would have followed any leader before its restart. A row with a huge number of processors overflowed in the follower that read it. Change: if the row states no epoch, the last announcement of a leader does; epochs that no leader can have reached count as unreadable; the comparison of processors saturates.

--- a/crates/turmeric-daemon/src/hosted/leadership.rs
+++ b/crates/turmeric-daemon/src/hosted/leadership.rs
@@ -8,7 +8,9 @@
 
 use spdlog::{info, warn};
 use tokio::sync::watch;
-use turmeric_jobs::{ElectionMonitor, ElectionStep, LeaderObservation, TakeoverCause};
+use turmeric_jobs::{
+    EPOCH_LIMIT, ElectionMonitor, ElectionStep, LeaderObservation, TakeoverCause, next_epoch,
+};
 use turmeric_platform::{FeedAnswer, RowPut, RowRef, StoreClient, StoreRow, TxAnswer, TxRequest};
 use turmeric_schema::{Message, v1};
 use turmeric_types::{CoreCount, SplitMixRandom};
@@ -72,11 +74,12 @@
     RowRef::new(LEADER_TABLE, HEADROOM_KEY)
 }
 
-/// Decodes the leader's row; a row that does not decode counts as an empty one.
+/// Decodes the leader's row; one that no leader wrote counts as an empty one.
 pub(crate) fn read_leader(row: &StoreRow) -> v1::LeaderRow {
     row.value
         .as_ref()
         .and_then(|value| v1::LeaderRow::decode(value.as_slice()).ok())
+        .filter(|leader| leader.epoch <= EPOCH_LIMIT)
         .unwrap_or_default()
 }
 
@@ -125,7 +128,7 @@
     let values = rows.iter().filter_map(|row| row.value.as_ref());
     for value in values {
         match v1::SeatRow::decode(value.as_slice()) {
-            Ok(row) if row.epoch > leadership.borrow().epoch => {
+            Ok(row) if row.epoch > leadership.borrow().epoch && row.epoch <= EPOCH_LIMIT => {
                 leadership.send_replace(row);
             }
             Ok(_) => {}
@@ -248,13 +251,37 @@
     }
 }
 
+/// Returns the epoch of the last announced leader, or zero if the leader's row tells. A row that
+/// cannot be decoded, or that another program has removed, does not.
+async fn read_announced_epoch(context: &LeaderContext, leader: &v1::LeaderRow) -> Option<u64> {
+    if leader.epoch > 0 {
+        return Some(0);
+    }
+    match context
+        .store
+        .read_one(&leadership_ref(), CALL_TIMEOUT)
+        .await
+    {
+        Ok(row) => {
+            let value = row.and_then(|row| row.value).unwrap_or_default();
+            let announced = v1::SeatRow::decode(value.as_slice()).unwrap_or_default();
+            Some(announced.epoch)
+        }
+        Err(error) => {
+            info!("reading the leadership table failed", kv: { reason = error.to_string() });
+            None
+        }
+    }
+}
+
 /// Writes the rows of a new epoch, on condition that the leader's row still has `version`.
 async fn acquire_leadership(
     context: &LeaderContext,
     version: u64,
     earlier: v1::LeaderRow,
 ) -> Option<LeadershipGrant> {
-    let epoch = earlier.epoch + 1;
+    let announced = read_announced_epoch(context, &earlier).await?;
+    let epoch = next_epoch(earlier.epoch, announced);
     let strongest = CoreCount::from_millicores(earlier.strongest_millicores);
     let row = v1::LeaderRow {
         epoch,
--- a/crates/turmeric-jobs/src/election.rs
+++ b/crates/turmeric-jobs/src/election.rs
@@ -40,6 +40,9 @@
 /// An entry replaces a much weaker leader after following for this long.
 const UPGRADE_DELAY: Duration = Duration::from_millis(1500);
 
+/// No leader reaches a higher epoch; another program wrote such a row.
+pub const EPOCH_LIMIT: u64 = 1 << 53;
+
 /// State of the leader's row, as read by a follower.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaderObservation {
@@ -200,5 +203,16 @@
 }
 
 fn is_weak(entry: CoreCount, other: CoreCount) -> bool {
-    entry.as_millicores() * WEAK_PERCENT / 100 < other.as_millicores()
+    entry.as_millicores().saturating_mul(WEAK_PERCENT) / 100 < other.as_millicores()
+}
+
+/// Returns the epoch of the next leader, after the epochs of the leader's row and of the last
+/// announcement of a leader; either is zero if there is none that can be read.
+///
+/// Agents reject an epoch that is lower than one that they know.
+pub fn next_epoch(recorded: u64, announced: u64) -> u64 {
+    let valid = [recorded, announced]
+        .into_iter()
+        .filter(|epoch| *epoch <= EPOCH_LIMIT);
+    valid.max().unwrap_or_default() + 1
 }
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -29,7 +29,9 @@
     ATTRIBUTION_WINDOW, CrashEvidence, CrashRecord, CrashVerdict, SHARED_WINDOW, StartTime,
     weigh_crash,
 };
-pub use election::{ElectionMonitor, ElectionStep, LeaderObservation, TakeoverCause};
+pub use election::{
+    EPOCH_LIMIT, ElectionMonitor, ElectionStep, LeaderObservation, TakeoverCause, next_epoch,
+};
 pub use estimates::{EstimateTable, StepEstimate};
 pub use headroom::{HeadroomSample, HeadroomTable, StepMeasurement};
 pub use lease::{ClockReading, LeaseGrant, LeaseLimits};
--- a/crates/turmeric-jobs/tests/election.rs
+++ b/crates/turmeric-jobs/tests/election.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use turmeric_jobs::{ElectionMonitor, ElectionStep, LeaderObservation, TakeoverCause};
+use turmeric_jobs::{ElectionMonitor, ElectionStep, LeaderObservation, TakeoverCause, next_epoch};
 use turmeric_types::{CoreCount, MonoTime};
 
 const FAST: Duration = Duration::from_millis(4);
@@ -198,3 +198,24 @@
         }
     }
 }
+
+/// A leader's row by another writer holds no epoch, or one that was never reached. Agents follow
+/// no epoch that is lower than one that they know.
+#[test]
+fn epoch_of_a_takeover_exceeds_the_announced_one() {
+    assert_eq!(next_epoch(0, 0), 1);
+    assert_eq!(next_epoch(4, 0), 5);
+    assert_eq!(next_epoch(0, 7), 8);
+    assert_eq!(next_epoch(u64::MAX, 7), 8);
+}
+
+#[test]
+fn huge_holder_in_the_row_panics_no_follower() {
+    let mut monitor = ElectionMonitor::new(cores(500), 0);
+    for millis in [0, 400, 2000] {
+        let mut odd = observation(1, u64::MAX);
+        odd.strongest = cores(u64::MAX);
+        let step = monitor.observe(Some(odd), FAST, at(millis));
+        assert_eq!(step, ElectionStep::Follow);
+    }
+}
