Saturate multiples of a job's objective

Cause: the critical path times the stretch of the queue, and its multiples for admission and urgency, panicked on overflow, in release builds too. It takes an odd stretch in the configuration and a long chain of steps; the leader would end its election at each takeover.

--- a/crates/turmeric-jobs/src/admission.rs
+++ b/crates/turmeric-jobs/src/admission.rs
@@ -59,7 +59,7 @@
 /// Decides whether to accept a job.
 pub fn admit(spec: &JobSpec, delay: &QueueDelay) -> AdmissionDecision {
     let is_open_ended = spec.is_long_running() || spec.repeat.is_some();
-    let limit = spec.objective() * DELAY_FACTOR;
+    let limit = spec.objective().saturating_mul(DELAY_FACTOR);
     let delay = delay.delay_for(spec.work());
     if is_open_ended || delay <= limit {
         return AdmissionDecision::Accept;
--- a/crates/turmeric-jobs/src/order.rs
+++ b/crates/turmeric-jobs/src/order.rs
@@ -86,7 +86,12 @@
         JobUrgency::Lasting
     } else if spec.repeat.is_some() || end <= spec.accepted_at.after(objective).as_millis() {
         JobUrgency::InTime
-    } else if end <= spec.accepted_at.after(objective * LATE_FACTOR).as_millis() {
+    } else if end
+        <= spec
+            .accepted_at
+            .after(objective.saturating_mul(LATE_FACTOR))
+            .as_millis()
+    {
         JobUrgency::Late
     } else {
         JobUrgency::Overdue
