--- a/crates/turmeric-jobs/src/lease.rs
+++ b/crates/turmeric-jobs/src/lease.rs
@@ -88,12 +88,15 @@
 
     /// Records that the worker has accepted a new fencing token: until then, an earlier agent
     /// may have renewed leases, of which this agent knows nothing.
-    pub fn record_fencing(&mut self, limits: &LeaseLimits) {
+    pub fn record_fencing(&mut self, limits: &LeaseLimits, now: MonoTime) {
         let Some(reading) = self.reading else {
             return;
         };
-        let longest = limits.wait().as_millis() as u64;
-        self.record_deadline(reading.worker_millis.saturating_add(longest));
+        let longest = now.since(reading.received_at) + limits.wait();
+        let deadline_millis = reading
+            .worker_millis
+            .saturating_add(longest.as_millis() as u64);
+        self.record_deadline(deadline_millis);
     }
 
     /// Records a deadline that is sent to the worker.
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -22,12 +22,16 @@
 mod store_health;
 
 pub use admission::{AdmissionDecision, QueueDelay, WorkDelay, admit};
-pub use attempts::{AttemptTable, StartAnswer, StartPlan, StopAnswer, WorkerCommand, WorkerLists};
+pub use attempts::{
+    AttemptTable, HeartbeatVerdict, StartAnswer, StartPlan, StopAnswer, WorkerCommand, WorkerLists,
+};
 pub use crashes::{
     ATTRIBUTION_WINDOW, CrashEvidence, CrashRecord, CrashVerdict, SHARED_WINDOW, StartTime,
     weigh_crash,
 };
-pub use election::{ElectionMonitor, ElectionStep, LeaderObservation, TakeoverCause};
+pub use election::{
+    EPOCH_LIMIT, ElectionMonitor, ElectionStep, LeaderObservation, TakeoverCause, next_epoch,
+};
 pub use estimates::{EstimateTable, StepEstimate};
 pub use headroom::{HeadroomSample, HeadroomTable, StepMeasurement};
 pub use lease::{ClockReading, LeaseGrant, LeaseLimits, WorkerLease};
@@ -46,5 +50,5 @@
 };
 pub use scheduler::{CommitPlan, JobScheduler, LeaderTimeouts};
 pub use scheduler::{EvictionCause, JobEvent, LossCause};
-pub use spec::{JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
+pub use spec::{CORE_LIMIT, JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
 pub use store_health::{DeliveryOutcome, StoreHealth};
--- a/crates/turmeric-jobs/tests/crashes.rs
+++ b/crates/turmeric-jobs/tests/crashes.rs
@@ -415,7 +415,7 @@
     let orders = fleet.leader.orders("w0", now).unwrap();
 
     let mut table = AttemptTable::new();
-    table.update_endpoint(fleet.report(0).endpoint_info.unwrap());
+    table.handle_heartbeat(fleet.report(0).endpoint_info.unwrap(), 1);
     table.set_synced();
     let now = MonoTime::from_millis(orders.stamp_millis);
     assert!(table.apply_orders(&orders, now).unwrap());
@@ -440,7 +440,7 @@
     fn new() -> Self {
         let fleet = Fleet::new(1);
         let mut table = AttemptTable::new();
-        table.update_endpoint(fleet.report(0).endpoint_info.unwrap());
+        table.handle_heartbeat(fleet.report(0).endpoint_info.unwrap(), 1);
         table.set_synced();
         Self { fleet, table }
     }
@@ -517,7 +517,10 @@
     fn restart(&mut self) {
         self.fleet.vms[0].incarnation += 1;
         let info = self.fleet.report(0).endpoint_info.unwrap();
-        assert!(self.table.update_endpoint(info));
+        let born = info.incarnation.started_at_millis;
+        self.table.handle_heartbeat(info, 1);
+        let mark = self.table.list_mark();
+        assert!(self.table.confirm_incarnation(mark, born));
         self.report(false);
         self.table.set_synced();
         self.table
--- a/crates/turmeric-jobs/tests/silent_workers.rs
+++ b/crates/turmeric-jobs/tests/silent_workers.rs
@@ -61,7 +61,7 @@
         let mut leader = JobScheduler::new(terms, 1, "e".to_owned(), String::new(), now);
         leader.add_job(JobCode::new(1), job(), WallTime::default());
         let mut table = AttemptTable::new();
-        table.update_endpoint(EndpointInfo {
+        let info = EndpointInfo {
             incarnation: EndpointIncarnation {
                 endpoint: "i-a".to_owned(),
                 started_at_millis: 1,
@@ -70,7 +70,8 @@
             is_draining: false,
             capacity: resources(8),
             labels: Vec::new(),
-        });
+        };
+        table.handle_heartbeat(info, 1);
         table.set_synced();
         let mut pair = Self {
             leader,
@@ -208,7 +209,7 @@
         received_at: MonoTime::from_millis(1_000),
         worker_millis: 500_000,
     });
-    lease.record_fencing(&limits);
+    lease.record_fencing(&limits, MonoTime::from_millis(1_000));
     assert!(!lease.has_expired(MonoTime::from_millis(7_000)));
     assert!(lease.has_expired(MonoTime::from_millis(9_000)));
 }
