Grant leases only from reports that the leader counts them from

Callers could see two runs of one task. Cause, by reading: the leader answers every report with its stamp, from which the agent counts a lease. But it counts a lease itself only from reports of agents that have fenced their worker and know the leader. An agent that restarts, or fences its worker again, may have finished that when the answer arrives; if nothing later reaches the leader, the worker keeps the tasks for seconds after the leader has started them elsewhere. The same with the first report to a new leader that arrives more than confirmation_timeout after the takeover.

Change: orders carry the stamp of a report only if the leader counts a lease from it, and no stamp otherwise. A first report to a new leader counts.

report_before_the_worker_was_fenced_grants_no_longer_lease_than_the_leader_waits_for failed before: the leader had taken the task back 3.5 s before the lease ended.

--- a/crates/turmeric-jobs/src/attempts/orders.rs
+++ b/crates/turmeric-jobs/src/attempts/orders.rs
@@ -55,10 +55,8 @@
             let (best_effort, serving) = (pair.filling.clone(), pair.serving.clone());
             self.interferences.set(best_effort, serving, value);
         }
-        if self
-            .grant
-            .is_none_or(|grant| grant.reported_at < reported_at)
-        {
+        let is_newer = |grant: LeaseGrant| grant.reported_at < reported_at;
+        if orders.stamp_millis > 0 && self.grant.is_none_or(is_newer) {
             self.grant = Some(LeaseGrant { reported_at });
         }
         self.recorded_end = self.recorded_end.max(orders.recorded_end);
--- a/crates/turmeric-jobs/src/lease.rs
+++ b/crates/turmeric-jobs/src/lease.rs
@@ -109,7 +109,9 @@
         };
         let elapsed = now.since(reading.received_at);
         let least = elapsed - elapsed * CLOCK_SLOW_PERCENT / 100;
-        let clock_millis = reading.worker_millis.saturating_add(least.as_millis() as u64);
+        let clock_millis = reading
+            .worker_millis
+            .saturating_add(least.as_millis() as u64);
         clock_millis.saturating_sub(self.deadline_millis) > END_SLACK.as_millis() as u64
     }
 }
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -35,7 +35,7 @@
         }
         vm.zone.clone_from(&report.zone);
         vm.reported_at = now;
-        vm.stamp_millis = report.stamp_millis;
+        vm.lease_stamp_millis = None;
         vm.is_ready = false;
         self.pending_updates.insert(name.clone());
         let crashed_at = vm.unresponsive_since;
@@ -80,11 +80,15 @@
             vm.last_measurement = *number;
             self.headroom.record_sample(sample, now);
         }
-        if let Some(vm) = self.vms.get_mut(&name)
-            && knows_leader
-        {
-            vm.is_ready = true;
-            vm.leased_at = now;
+        if let Some(vm) = self.vms.get_mut(&name) {
+            vm.is_ready = knows_leader;
+            vm.lease_stamp_millis = Some(report.stamp_millis);
+            // Until the agent knows this leader, an earlier one may renew its leases as well.
+            vm.leased_at = if knows_leader {
+                now
+            } else {
+                now.max(vm.leased_at)
+            };
         }
     }
 
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -78,7 +78,7 @@
         let incarnation = incarnation.unwrap_or_default();
         Some(v1::VmOrders {
             epoch: self.epoch,
-            stamp_millis: vm.stamp_millis,
+            stamp_millis: vm.lease_stamp_millis.unwrap_or_default(),
             endpoint: incarnation.endpoint,
             born: incarnation.started_at_millis,
             starts,
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -159,8 +159,9 @@
     pub(crate) unresponsive_since: Option<MonoTime>,
     /// When the agent's last report arrived.
     pub(crate) reported_at: MonoTime,
-    /// The agent's clock in its last report, in milliseconds.
-    pub(crate) stamp_millis: u64,
+    /// The agent's clock in its last report, in milliseconds, if a lease may count from that
+    /// report.
+    pub(crate) lease_stamp_millis: Option<u64>,
     /// Latest time from which any lease on the VM may count.
     pub(crate) leased_at: MonoTime,
     /// The agent knows this leader, so no other leader renews its leases.
@@ -193,7 +194,7 @@
             is_ready: false,
             unresponsive_since: None,
             reported_at: now,
-            stamp_millis: 0,
+            lease_stamp_millis: None,
             leased_at,
             knows_leader: false,
             attempts: BTreeMap::new(),
--- a/crates/turmeric-jobs/tests/silent_workers.rs
+++ b/crates/turmeric-jobs/tests/silent_workers.rs
@@ -13,6 +13,8 @@
 use turmeric_schema::v1;
 use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
 
+const LEASE_TERM: Duration = Duration::from_secs(5);
+
 fn resources(cores: u64) -> ResourceSet {
     ResourceSet::new(
         CoreCount::from_millicores(cores * 1000),
@@ -54,7 +56,7 @@
     fn new() -> Self {
         let now = MonoTime::from_millis(1000);
         let terms = LeaderTimeouts {
-            lease: LeaseLimits::new(Duration::from_secs(5)),
+            lease: LeaseLimits::new(LEASE_TERM),
             confirmation_timeout: Duration::from_secs(5),
             retention: Duration::from_secs(100),
         };
@@ -213,6 +215,26 @@
     assert!(lease.has_expired(MonoTime::from_millis(9_000)));
 }
 
+/// Guards against two runs of one task: the answer to a report that the leader counts no lease
+/// from arrives when the agent has fenced the worker, and nothing later reaches the leader.
+#[test]
+fn report_before_the_worker_was_fenced_grants_no_longer_lease_than_the_leader_waits_for() {
+    let mut pair = SilentPair::new().with_start(StartAnswer::Started);
+    pair.exchange(Duration::from_millis(20));
+    pair.table.clear_synced();
+    pair.now = pair.now.after(Duration::from_secs(4));
+    let wall = WallTime::default();
+    pair.leader.handle_report(pair.report(), pair.now, wall);
+    let orders = pair.leader.orders("a", pair.now).unwrap();
+    pair.table.set_synced();
+    pair.table.apply_orders(&orders, pair.now).unwrap();
+    let lease = LeaseLimits::new(LEASE_TERM);
+    let lease_end = pair.table.grant().unwrap().reported_at.after(lease.term);
+    pair.leader.tick(lease_end);
+    let job = pair.leader.job(pair.key.task.job).unwrap();
+    assert!(job.tasks[&pair.key.task].location.is_some());
+}
+
 /// A worker's clock may be slow, so its leases last longer than they say.
 #[test]
 fn lease_of_a_worker_with_a_slow_clock_has_not_expired_early() {
