Ignore reports that a later connection of their agent has overtaken

Callers could see two runs of one task. Cause, by reading: each connection of an agent is read by a task of its own, so what an agent sent before it connected again (retransmitted after a cut, or left in the buffer of a leader that was paused) may be handled after its first reports over the new connection. If it says that all attempts have terminated, or comes from an earlier incarnation, the leader takes back tasks that it has ordered since, and starts them elsewhere.

Change: the leader numbers the connections as agents open them, and ignores a report of an earlier one than the agent's newest. An agent repeats what the leader has not confirmed, so nothing is lost with it.

report_overtaken_by_a_later_connection_takes_no_task_back fails without the comparison of the numbers (run with it disabled).

--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -80,6 +80,8 @@
 /// An agent's report, with the channel for orders to that agent.
 struct LinkedReport {
     report: v1::VmReport,
+    /// Number of the connection, in the order in which agents opened them.
+    link: u64,
     order_sender: mpsc::Sender<v1::VmOrders>,
 }
 
@@ -104,6 +106,7 @@
         placement_due: MonoTime::default(),
         load_logged_at: MonoTime::default(),
         needs_placement: true,
+        link_count: 0,
         commits: JoinSet::new(),
         decisions: DecisionLog::default(),
         timings: LoopTimings::default(),
@@ -212,6 +215,8 @@
     placement_due: MonoTime,
     load_logged_at: MonoTime,
     needs_placement: bool,
+    /// Number of connections that agents have opened.
+    link_count: u64,
     commits: JoinSet<CommitOutcome>,
     decisions: DecisionLog,
     timings: LoopTimings,
@@ -235,7 +240,8 @@
                 Some(row) = intake.recv() => self.apply_intake(row),
                 Some(report) = reports.recv() => self.handle_report(report),
                 Some(link) = links.recv() => {
-                    background.spawn(serve_link(link, report_sender.clone()));
+                    self.link_count += 1;
+                    background.spawn(serve_link(link, self.link_count, report_sender.clone()));
                 }
                 Some(end) = self.commits.join_next() => match end {
                     Ok(CommitOutcome::Done { plan, version }) => {
@@ -292,11 +298,17 @@
             }
         };
         self.needs_placement |= !report.ends.is_empty() || !report.refused.is_empty();
-        self.order_senders
-            .insert(report.vm.clone(), linked.order_sender);
+        let vm = report.vm.clone();
         let now = self.context.clock.now();
-        self.scheduler
-            .handle_report(report, now, self.context.clock.wall());
+        let wall = self.context.clock.wall();
+        let is_current = self
+            .scheduler
+            .handle_link_report(linked.link, report, now, wall);
+        if is_current {
+            self.order_senders.insert(vm, linked.order_sender);
+        } else {
+            info!("overtaken report ignored", kv: { vm = vm });
+        }
         self.timings
             .reports
             .add(self.context.clock.now().since(started_at));
@@ -444,7 +456,7 @@
 }
 
 /// Receives the reports of an agent and sends it orders until the connection fails.
-async fn serve_link(link: AgentLink, reports: mpsc::Sender<LinkedReport>) {
+async fn serve_link(link: AgentLink, number: u64, reports: mpsc::Sender<LinkedReport>) {
     let (mut reader, mut writer) = link;
     let (order_sender, mut orders) = mpsc::channel::<v1::VmOrders>(LINK_QUEUE_LIMIT);
     let send = async {
@@ -461,6 +473,7 @@
             };
             let linked = LinkedReport {
                 report,
+                link: number,
                 order_sender: order_sender.clone(),
             };
             if reports.send(linked).await.is_err() {
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -20,6 +20,29 @@
 const EVICTION_CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(1500);
 
 impl JobScheduler {
+    /// Handles a report that arrived over a connection of its agent. Connections are numbered in
+    /// the order in which they were opened.
+    ///
+    /// Returns false for a report that a later connection of the agent has overtaken. It is
+    /// ignored: the agent may have been ordered to start attempts since.
+    pub fn handle_link_report(
+        &mut self,
+        link: u64,
+        report: VmReport,
+        now: MonoTime,
+        wall: WallTime,
+    ) -> bool {
+        let name = report.vm.clone();
+        if self.vms.get(&name).is_some_and(|vm| vm.link > link) {
+            return false;
+        }
+        self.handle_report(report, now, wall);
+        if let Some(vm) = self.vms.get_mut(&name) {
+            vm.link = link;
+        }
+        true
+    }
+
     /// Handles a report of an agent.
     pub fn handle_report(&mut self, report: VmReport, now: MonoTime, wall: WallTime) {
         let name = report.vm.clone();
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -157,6 +157,8 @@
     pub(crate) is_ready: bool,
     /// When the agent first reported that the worker does not answer; [`None`] if it does.
     pub(crate) unresponsive_since: Option<MonoTime>,
+    /// Number of the connection over which the agent's last report arrived.
+    pub(crate) link: u64,
     /// When the agent's last report arrived.
     pub(crate) reported_at: MonoTime,
     /// The agent's clock in its last report, in milliseconds, if a lease may count from that
@@ -193,6 +195,7 @@
             was_draining: false,
             is_ready: false,
             unresponsive_since: None,
+            link: 0,
             reported_at: now,
             lease_stamp_millis: None,
             leased_at,
--- a/crates/turmeric-jobs/tests/silent_workers.rs
+++ b/crates/turmeric-jobs/tests/silent_workers.rs
@@ -235,6 +235,27 @@
     assert!(job.tasks[&pair.key.task].location.is_some());
 }
 
+/// Guards against two runs of one task: the agent has connected again, and what it had sent over
+/// the earlier connection arrives after it was ordered to start the task.
+#[test]
+fn report_overtaken_by_a_later_connection_takes_no_task_back() {
+    let mut pair = SilentPair::new();
+    let wall = WallTime::default();
+    pair.table.set_crashed(pair.now);
+    let overtaken = pair.report();
+    pair.now = pair.now.after(Duration::from_millis(100));
+    pair.regain();
+    let report = pair.report();
+    assert!(pair.leader.handle_link_report(2, report, pair.now, wall));
+    let orders = pair.leader.orders("a", pair.now).unwrap();
+    pair.table.apply_orders(&orders, pair.now).unwrap();
+    let starts = pair.take_starts();
+    assert_eq!(starts.len(), 1);
+    assert!(!pair.leader.handle_link_report(1, overtaken, pair.now, wall));
+    let job = pair.leader.job(starts[0].task.job).unwrap();
+    assert!(job.tasks[&starts[0].task].location.is_some());
+}
+
 /// A worker's clock may be slow, so its leases last longer than they say.
 #[test]
 fn lease_of_a_worker_with_a_slow_clock_has_not_expired_early() {
