Count permits and leases from the poll that was answered

In the product's own interface, callers could see two runs of one task. Cause, by reading: an agent that has news sends another poll without waiting for the reply. When the reply to the first one arrives, the agent counted the permit and the lease from the second, while the entry counts them from the first.

Change: a reply names the poll that it answers, and the agent keeps the worker's clock of each poll that is not answered yet. Replies of earlier versions, which name none, count from the newest poll as before.

lease_counts_from_the_poll_that_was_answered fails without the change (run with the number of the poll ignored).

--- a/crates/turmeric-tasks/src/agent.rs
+++ b/crates/turmeric-tasks/src/agent.rs
@@ -262,7 +262,7 @@
         let worker_clock = self.worker_clock;
         let session = &mut self.sessions[slot];
         session.sequence += 1;
-        session.clock_at_poll = worker_clock;
+        session.poll_clocks.insert(session.sequence, worker_clock);
         session.requested_permit = wants_permit;
         let earlier = std::mem::replace(
             &mut session.sent,
@@ -318,6 +318,7 @@
     pub fn reset_session(&mut self, slot: usize) {
         let session = &mut self.sessions[slot];
         session.acknowledged = SentState::default();
+        session.poll_clocks.clear();
         session.last_sent_report = 0;
         session.requested_permit = false;
         session.wants_announcement = true;
--- a/crates/turmeric-tasks/src/agent/reply.rs
+++ b/crates/turmeric-tasks/src/agent/reply.rs
@@ -78,8 +78,9 @@
                 self.handle_order(slot, order, &mut actions);
             }
         }
-        if let Some(confirmation) = &reply.confirmation {
-            self.apply_confirmation(slot, confirmation, &owned, &mut actions);
+        let poll_clock = self.sessions[slot].take_poll_clock(reply);
+        if let (Some(confirmation), Some(clock)) = (&reply.confirmation, poll_clock) {
+            self.apply_confirmation(clock, confirmation, &owned, &mut actions);
         }
         Ok(actions)
     }
@@ -333,13 +334,13 @@
     /// permit, or returns them if the zone is out of service, and renews leases.
     fn apply_confirmation(
         &mut self,
-        slot: usize,
+        worker_clock: MonoTime,
         confirmation: &v1::Confirmation,
         leased: &BTreeSet<PartitionId>,
         actions: &mut Vec<AgentAction>,
     ) {
         let read = ReadTime {
-            worker_clock: self.sessions[slot].clock_at_poll,
+            worker_clock,
             age: Duration::from_millis(confirmation.age_millis),
             advance: Duration::from_millis(confirmation.advance_millis),
         };
--- a/crates/turmeric-tasks/src/agent/session.rs
+++ b/crates/turmeric-tasks/src/agent/session.rs
@@ -1,5 +1,7 @@
 //! An agent's session with one entry.
 
+use std::collections::BTreeMap;
+
 use turmeric_schema::v1;
 use turmeric_types::MonoTime;
 
@@ -31,8 +33,8 @@
     pub(crate) requested_permit: bool,
     /// Number of the last report that was sent.
     pub(crate) last_sent_report: u64,
-    /// The worker's clock, as read before the last poll was sent.
-    pub(crate) clock_at_poll: MonoTime,
+    /// The worker's clock, as read before each poll that is not answered yet was sent.
+    pub(crate) poll_clocks: BTreeMap<u64, MonoTime>,
 }
 
 impl Default for EntrySession {
@@ -47,7 +49,21 @@
             sent: SentState::default(),
             requested_permit: false,
             last_sent_report: 0,
-            clock_at_poll: MonoTime::default(),
+            poll_clocks: BTreeMap::new(),
         }
     }
 }
+
+impl EntrySession {
+    /// Returns the worker's clock as read before the poll was sent that a reply answers.
+    pub(crate) fn take_poll_clock(&mut self, reply: &v1::PollReply) -> Option<MonoTime> {
+        // Earlier versions of the entry do not say which poll they answer.
+        let answered = match reply.answered_sequence {
+            0 => self.sequence,
+            number => number,
+        };
+        let clock = self.poll_clocks.remove(&answered);
+        self.poll_clocks = self.poll_clocks.split_off(&answered);
+        clock
+    }
+}
--- a/crates/turmeric-tasks/src/scheduler/reply.rs
+++ b/crates/turmeric-tasks/src/scheduler/reply.rs
@@ -130,6 +130,7 @@
             return reply;
         };
         session.poll = None;
+        reply.answered_sequence = session.sequence;
         reply.wants_announcement = !session.is_reconciled || session.announced.is_none();
         reply.acknowledged_reports = session.acknowledged_reports.iter().copied().collect();
         session.acknowledged_reports.clear();
--- a/crates/turmeric-tasks/tests/agent.rs
+++ b/crates/turmeric-tasks/tests/agent.rs
@@ -156,6 +156,23 @@
     assert_eq!(start.lease_until, millis(1000 + 15_000 - 300));
 }
 
+/// Guards against two runs of one task: a reply is delayed, and the agent polls again meanwhile.
+/// The entry counts the lease from the poll that it answered.
+#[test]
+fn lease_counts_from_the_poll_that_was_answered() {
+    let mut agent = agent();
+    let answered = poll(&mut agent, 0).sequence;
+    let version = agent.begin_status();
+    agent.apply_status(version, &status(4000, Vec::new()));
+    poll(&mut agent, 0);
+    let late = v1::PollReply {
+        answered_sequence: answered,
+        ..with_confirmation(reply(2, vec![start_order(1, 2)]), 0, true)
+    };
+    let actions = agent.handle_reply(0, &late).unwrap();
+    assert!(actions.is_empty(), "the permit has expired: {actions:?}");
+}
+
 #[test]
 fn start_needs_no_second_poll_if_the_table_was_read_during_the_long_poll() {
     let mut agent = agent();
