Confirm nothing in a reply that lacks some of the orders

In the product's own interface, an agent starts the attempts that wait for a permit with the next confirmation. An entry that has returned some of them to the queue cancels them in the same reply, before the confirmation. A reply holds at most 256 orders, so that beyond these the agent would start attempts whose tasks run elsewhere.

Change: a reply confirms only if it holds all orders. The next one follows as soon as the agent has acknowledged these.

reply_without_all_orders_confirms_nothing failed before.

--- a/crates/turmeric-tasks/src/scheduler/reply.rs
+++ b/crates/turmeric-tasks/src/scheduler/reply.rs
@@ -153,6 +153,10 @@
         let expiry_wait = self.terms.expiry_wait();
         let session = self.sessions.get_mut(agent)?;
         let poll = session.poll?;
+        // The agent cancels attempts before it starts those that wait.
+        if session.orders.len() > ORDER_LIMIT {
+            return None;
+        }
         if !session.is_reconciled || now.since(confirmation.began_at) > self.terms.run {
             return None;
         }
--- a/crates/turmeric-tasks/tests/sessions.rs
+++ b/crates/turmeric-tasks/tests/sessions.rs
@@ -6,7 +6,7 @@
 
 use entry::{append, context, full_poll, poll, scheduler, scheduler_with_task};
 use turmeric_schema::v1;
-use turmeric_types::{AgentId, MonoTime};
+use turmeric_types::{AgentId, JobId, MonoTime, PartitionId};
 
 #[test]
 fn settings_update_is_sent_until_the_agent_has_applied_it() {
@@ -55,3 +55,32 @@
     assert_eq!(scheduler.next_append(partition), None, "nothing to write");
     assert_eq!(second, Ok(None), "the overtaken poll gets no reply");
 }
+
+/// Guards against two runs of one task: the agent starts what it was ordered to start with the
+/// next confirmation, so that must not arrive before all cancellations.
+#[test]
+fn reply_without_all_orders_confirms_nothing() {
+    let (mut scheduler, _, agent) = scheduler_with_task();
+    let mut full = full_poll(1, 0);
+    full.announcement.as_mut().unwrap().running = (0..300)
+        .map(|index| v1::RunningTask {
+            task: Some(v1::TaskRef {
+                job: JobId::new(2).as_bytes().to_vec(),
+                index,
+            }),
+            attempt: 1,
+            partition: u32::from(PartitionId::of_team(&"leather".parse().unwrap()).get()),
+        })
+        .collect();
+    scheduler.receive_poll(&full, context(10)).unwrap();
+    let first = scheduler.reply(&agent, MonoTime::from_millis(20)).unwrap();
+    assert!(first.orders.len() < 300);
+    assert_eq!(first.confirmation, None);
+    let number = first.orders.last().unwrap().number;
+    scheduler
+        .receive_poll(&full_poll(2, number), context(30))
+        .unwrap();
+    let second = scheduler.reply(&agent, MonoTime::from_millis(40)).unwrap();
+    assert_eq!(first.orders.len() + second.orders.len(), 300);
+    assert!(second.confirmation.is_some());
+}
