Cancel a start that may still arrive after its lease has lapsed

In the product's own interface, callers could see two runs of one task. Cause, by reading: when the lease of an attempt lapses, the entry withdraws an order to start it that the agent has not acknowledged. An earlier reply with that order may still be on its way. If the agent sends a poll with its list of attempts before that reply arrives, the entry takes the list for complete, and its next confirmation starts the attempt, whose task runs elsewhere by then.

Change: an order that is withdrawn is replaced by one to cancel the attempt, which the agent carries out before it uses the confirmation.

start_that_may_still_arrive_after_its_lease_lapsed_is_cancelled failed before. It doesn't cover an entry that has removed the session of the agent in between.

--- a/crates/turmeric-tasks/src/scheduler/reconcile.rs
+++ b/crates/turmeric-tasks/src/scheduler/reconcile.rs
@@ -116,8 +116,9 @@
         task: TaskId,
         attempt: AttemptNumber,
     ) {
-        if let Some(session) = self.sessions.get_mut(agent) {
-            session.withdraw_start(task, attempt);
+        let session = self.sessions.get_mut(agent);
+        if session.is_some_and(|session| session.withdraw_start(task, attempt)) {
+            self.order_cancel(agent, partition, task, attempt);
         }
         let change = TaskChange::Returned {
             attempt,
--- a/crates/turmeric-tasks/src/scheduler/session.rs
+++ b/crates/turmeric-tasks/src/scheduler/session.rs
@@ -198,15 +198,18 @@
     /// Drops the order to start an attempt that the agent lost.
     ///
     /// Otherwise the start order could reach the agent together with a lease,
-    /// while the task is already placed on another worker.
-    pub(crate) fn withdraw_start(&mut self, task: TaskId, attempt: AttemptNumber) {
+    /// while the task is already placed on another worker. Returns whether there was such an
+    /// order, which an earlier reply may still bring to the agent.
+    pub(crate) fn withdraw_start(&mut self, task: TaskId, attempt: AttemptNumber) -> bool {
         self.unconfirmed.remove(&task);
+        let order_count = self.orders.len();
         self.orders.retain(|_, order| {
             let is_start = matches!(order.action, Some(Action::Start(_)));
             !is_start
                 || order.attempt != attempt.get()
                 || read_task(order.task.as_ref()) != Ok(task)
         });
+        self.orders.len() < order_count
     }
 
     /// Drops the orders of a partition that the entry no longer owns.
--- a/crates/turmeric-tasks/tests/sessions.rs
+++ b/crates/turmeric-tasks/tests/sessions.rs
@@ -6,7 +6,8 @@
 
 use entry::{append, context, full_poll, poll, scheduler, scheduler_with_task};
 use turmeric_schema::v1;
-use turmeric_types::{AgentId, JobId, MonoTime, PartitionId};
+use turmeric_schema::v1::task_order::Action;
+use turmeric_types::{AgentId, JobId, MonoTime, PartitionId, SettingsVersion};
 
 #[test]
 fn settings_update_is_sent_until_the_agent_has_applied_it() {
@@ -84,3 +85,30 @@
     assert_eq!(first.orders.len() + second.orders.len(), 300);
     assert!(second.confirmation.is_some());
 }
+
+/// Guards against two runs of one task: the reply with the start is delayed, the lease lapses,
+/// and the agent's next poll was sent before that reply arrives.
+#[test]
+fn start_that_may_still_arrive_after_its_lease_lapsed_is_cancelled() {
+    let (mut scheduler, partition, agent) = scheduler_with_task();
+    scheduler
+        .receive_poll(&full_poll(1, 0), context(10))
+        .unwrap();
+    scheduler.set_agent_open(&agent, true);
+    scheduler.place_waiting();
+    append(&mut scheduler, partition);
+    let delayed = scheduler.reply(&agent, MonoTime::from_millis(20)).unwrap();
+    assert_eq!(delayed.orders.len(), 1);
+    let now = MonoTime::from_millis(60_000);
+    scheduler.confirm(now, SettingsVersion::new(1));
+    scheduler.tick(now);
+    append(&mut scheduler, partition);
+    scheduler
+        .receive_poll(&full_poll(2, 0), context(60_000))
+        .unwrap();
+    let reply_at = scheduler.reply_deadline(&agent).unwrap();
+    scheduler.confirm(reply_at, SettingsVersion::new(1));
+    let reply = scheduler.reply(&agent, reply_at).unwrap();
+    let is_cancel = |order: &v1::TaskOrder| matches!(order.action, Some(Action::Cancel(_)));
+    assert!(reply.confirmation.is_none() || reply.orders.iter().any(is_cancel));
+}
