Confirm no orders of an earlier leader to the next

Each leader numbers its orders from 1, and an agent reports the number of the newest that it has applied. An agent that learned of a new leader from orders that it could not apply went on to report the number of the earlier leader, which is higher: the new leader could forget an attempt, and the capacity that it reserves, while the order to start it was still on its way.

Change: the number starts anew with the epoch.

orders_of_an_earlier_leader_confirm_nothing_to_the_next failed before. By reading, no rule breaks for it today: evicted attempts are listed ones, and the agent checks the capacity itself.

--- a/crates/turmeric-jobs/src/attempts/orders.rs
+++ b/crates/turmeric-jobs/src/attempts/orders.rs
@@ -37,6 +37,10 @@
         if orders.epoch < self.epoch {
             return Ok(false);
         }
+        if orders.epoch > self.epoch {
+            // Each leader numbers its orders from 1.
+            self.applied_orders = 0;
+        }
         self.epoch = orders.epoch;
         self.since_store_answer = Duration::from_millis(orders.store_silence_millis);
         let is_present = self.incarnation().is_some_and(|incarnation| {
--- a/crates/turmeric-jobs/tests/silent_workers.rs
+++ b/crates/turmeric-jobs/tests/silent_workers.rs
@@ -257,6 +257,24 @@
     assert!(job.tasks[&starts[0].task].location.is_some());
 }
 
+/// Guards against attempts that a new leader forgets before the agent has heard that they are no
+/// longer wanted: the agent confirms orders of the earlier leader, which had higher numbers.
+#[test]
+fn orders_of_an_earlier_leader_confirm_nothing_to_the_next() {
+    let mut pair = SilentPair::new().with_start(StartAnswer::Started);
+    assert!(pair.report().applied_orders > 0);
+    pair.table.clear_synced();
+    let orders = v1::VmOrders {
+        epoch: 2,
+        sequence: 1,
+        ..v1::VmOrders::default()
+    };
+    assert!(!pair.table.apply_orders(&orders, pair.now).unwrap());
+    pair.regain();
+    let report = pair.report();
+    assert_eq!((report.epoch, report.applied_orders), (2, 0));
+}
+
 /// A worker's clock may be slow, so its leases last longer than they say.
 #[test]
 fn lease_of_a_worker_with_a_slow_clock_has_not_expired_early() {
