--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{Notify, watch};
 use turmeric_jobs::{
     AttemptKey, AttemptTable, EndpointIncarnation, HeadroomSample, HeartbeatVerdict, PolicySet,
-    VmReport,
+    VmReport, WorkerLease,
 };
 use turmeric_platform::{CallClient, RegistryHeartbeat, StoreClient, WorkerCalls};
 use turmeric_schema::v1;
@@ -80,10 +80,8 @@
     pub(crate) headroom: Option<HeadroomSample>,
     /// Fencing token that this agent uses at the worker; zero before it has chosen one.
     pub(crate) fence: u64,
-    /// The worker's clock as last read.
-    pub(crate) clock_reading: Option<turmeric_jobs::ClockReading>,
-    /// Latest lease deadline sent to the worker in this incarnation, by the worker's clock.
-    pub(crate) deadline_millis: u64,
+    /// The leases at the worker in this incarnation.
+    pub(crate) lease: WorkerLease,
     /// The worker did not answer the last long poll.
     pub(crate) is_unresponsive: bool,
 }
@@ -136,7 +134,7 @@
             .incarnation()
             .is_some_and(|incarnation| incarnation.endpoint == endpoint)
         {
-            core.table.set_departed();
+            core.table.set_departed(self.clock.now());
             self.report_due.notify_one();
         }
     }
@@ -150,8 +148,7 @@
         self.reduced_shares.clear();
         self.headroom = None;
         self.neighbours = NeighbourMeasurements::default();
-        self.clock_reading = None;
-        self.deadline_millis = 0;
+        self.lease = WorkerLease::new();
         self.is_unresponsive = false;
         self.table.clear_synced();
     }
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -111,6 +111,8 @@
     /// The worker has accepted this agent's fence in the current incarnation.
     was_synced: bool,
     is_terminated: bool,
+    /// When all attempts of the current incarnation were last declared terminated.
+    terminated_at: Option<MonoTime>,
     /// The endpoint deregistered in its current incarnation.
     has_departed: bool,
     /// The last incarnation that crashed, until the leader knows of a later one.
@@ -184,7 +186,8 @@
         self.is_stopping = true;
     }
 
-    /// Records that the current incarnation crashed, unless it has announced its end.
+    /// Records that the current incarnation crashed, unless it has announced its end; another
+    /// one has begun.
     fn record_crash(&mut self) {
         let Some(info) = &self.endpoint_info else {
             return;
@@ -201,7 +204,9 @@
         };
         let running = self.attempts.iter();
         let running = running.filter(|(_, attempt)| may_have_run(attempt));
-        let unconfirmed = running.clone().filter(|(_, attempt)| !attempt.is_confirmed);
+        // Attempts whose leases expired before may have ended before the crash.
+        let is_uncertain = |attempt: &TrackedAttempt| self.is_terminated || !attempt.is_confirmed;
+        let unconfirmed = running.clone().filter(|(_, attempt)| is_uncertain(attempt));
         self.crash = Some(IncarnationCrash {
             incarnation: info.incarnation.clone(),
             attempts: running.map(|(key, _)| *key).collect(),
@@ -234,21 +239,27 @@
     }
 
     /// Records that the endpoint has deregistered, which ends all of its attempts.
-    pub fn set_departed(&mut self) {
+    pub fn set_departed(&mut self, now: MonoTime) {
         self.has_departed = true;
-        self.set_terminated();
+        self.set_terminated(now);
     }
 
-    /// Records that the worker has crashed: it does not answer, and the leases of all its
-    /// attempts have expired.
-    pub fn set_crashed(&mut self) {
-        self.record_crash();
-        self.set_terminated();
+    /// Records that the leases of all attempts at a worker that does not answer have expired.
+    ///
+    /// The worker may be alive, and answer again in the same incarnation. Only a later
+    /// incarnation tells that it has crashed.
+    pub fn set_expired(&mut self, now: MonoTime) {
+        self.set_terminated(now);
     }
 
-    fn set_terminated(&mut self) {
+    /// Revokes all orders so far: on this news the leader starts the tasks elsewhere, and the
+    /// same incarnation may answer again.
+    fn set_terminated(&mut self, now: MonoTime) {
         self.is_terminated = true;
         self.is_synced = false;
+        self.terminated_at = Some(now);
+        self.grant = None;
+        self.drop_revoked(&BTreeSet::new(), now);
     }
 
     /// Returns the number of attempts that have not ended.
@@ -256,6 +267,17 @@
         self.attempts.len()
     }
 
+    /// Returns the number of starts that have not been sent, or were sent and not answered.
+    pub fn pending_start_count(&self) -> usize {
+        let is_pending = |attempt: &&TrackedAttempt| {
+            matches!(
+                attempt.state,
+                AttemptState::StartDue | AttemptState::Starting
+            )
+        };
+        self.attempts.values().filter(is_pending).count()
+    }
+
     /// Returns the capacity that is left by all attempts that may be at the worker.
     fn free_capacity(&self) -> FreeCapacity {
         let info = self.endpoint_info.as_ref();
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -78,14 +78,14 @@
         let incarnation = incarnation.unwrap_or_default();
         Some(v1::VmOrders {
             epoch: self.epoch,
-            stamp_millis: vm.stamp_millis,
+            stamp_millis: vm.lease_stamp_millis.unwrap_or_default(),
             endpoint: incarnation.endpoint,
             born: incarnation.started_at_millis,
             starts,
             keep: keep.iter().map(write_key).collect(),
             recorded_end: vm.recorded_end(),
             sequence,
-            store_silence_millis: now.since(self.committed_at).as_millis() as u64,
+            store_silence_millis: now.since(self.confirmed_at).as_millis() as u64,
             gains: self.interference(name),
         })
     }
--- a/crates/turmeric-jobs/tests/heartbeats.rs
+++ b/crates/turmeric-jobs/tests/heartbeats.rs
@@ -1,5 +1,7 @@
 //! Heartbeats of which some are odd, late or of another incarnation.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use proptest::prelude::*;
 use rstest::rstest;
 use turmeric_jobs::{AttemptTable, EndpointIncarnation, EndpointInfo, HeartbeatVerdict};
