--- a/crates/turmeric-jobs/tests/silent_workers.rs
+++ b/crates/turmeric-jobs/tests/silent_workers.rs
@@ -242,7 +242,7 @@
 fn report_overtaken_by_a_later_connection_takes_no_task_back() {
     let mut pair = SilentPair::new();
     let wall = WallTime::default();
-    pair.table.set_crashed(pair.now);
+    pair.table.set_expired(pair.now);
     let overtaken = pair.report();
     pair.now = pair.now.after(Duration::from_millis(100));
     pair.regain();
