Believe a deregistration once the worker does not answer

Callers could see two runs of one task. Cause, by reading (review of the incident): a deregistration names the endpoint but not its incarnation. One that arrives late, when the endpoint is back under the same identifier, made the agent declare all attempts terminated, and the leader started the tasks elsewhere while they ran.

Change: after a deregistration nothing more is started there, and the attempts count as terminated when the worker does not answer the next poll. A heartbeat of the same incarnation takes it back.

deregistration_of_an_endpoint_that_answers_terminates_nothing cannot be written against the earlier code, which had no such state; there the report was terminated at once.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -126,7 +126,7 @@
         }
     }
 
-    /// Records that the endpoint has deregistered, which ends its attempts.
+    /// Records that the endpoint has deregistered. Its attempts end when it stops to answer.
     pub(crate) fn record_deregistration(&self, endpoint: &str) {
         let mut core = self.core();
         if core
@@ -134,7 +134,7 @@
             .incarnation()
             .is_some_and(|incarnation| incarnation.endpoint == endpoint)
         {
-            core.table.set_departed(self.clock.now());
+            core.table.announce_departure();
             self.report_due.notify_one();
         }
     }
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -171,6 +171,10 @@
             MIN_POLL_INTERVAL
         }
         HoldAnswer::OtherLife => {
+            if core.table.is_leaving() {
+                core.table.set_departed(now);
+                state.report_due.notify_one();
+            }
             if core.table.refute_endpoint() {
                 core.begin_incarnation();
                 drop(core);
@@ -184,7 +188,10 @@
                 core.is_unresponsive = true;
                 state.report_due.notify_one();
             }
-            if core.table.is_synced() && core.lease.has_expired(now) {
+            if core.table.is_leaving() {
+                core.table.set_departed(now);
+                state.report_due.notify_one();
+            } else if core.table.is_synced() && core.lease.has_expired(now) {
                 warn!("leases have expired at an unresponsive worker", kv: {
                     life = incarnation.to_string(), runs = core.table.attempt_count(),
                     pending_starts = core.table.pending_start_count()
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -238,7 +238,20 @@
         self.is_synced = false;
     }
 
-    /// Records that the endpoint has deregistered, which ends all of its attempts.
+    /// Records that the endpoint has deregistered: it ends, and its attempts with it.
+    ///
+    /// The message does not name the incarnation and may be late, so the attempts count as
+    /// terminated only once the worker does not answer; see [`Self::is_leaving`].
+    pub fn announce_departure(&mut self) {
+        self.has_departed = true;
+    }
+
+    /// Returns whether the endpoint has deregistered and may still be there.
+    pub fn is_leaving(&self) -> bool {
+        self.has_departed && !self.is_terminated
+    }
+
+    /// Records that the endpoint has left as it announced, which ended all of its attempts.
     pub fn set_departed(&mut self, now: MonoTime) {
         self.has_departed = true;
         self.set_terminated(now);
@@ -302,6 +315,7 @@
             .grant
             .is_some_and(|grant| now <= grant.reported_at.after(ORDER_EXPIRY));
         let is_draining = self.is_stopping
+            || self.has_departed
             || self
                 .endpoint_info
                 .as_ref()
@@ -422,7 +436,10 @@
             zone: zone.to_owned(),
             epoch: self.epoch,
             stamp_millis: now.as_millis(),
-            endpoint_info: self.endpoint_info.clone(),
+            endpoint_info: self.endpoint_info.clone().map(|info| EndpointInfo {
+                is_draining: info.is_draining || self.has_departed,
+                ..info
+            }),
             is_synced: self.is_synced,
             is_terminated: self.is_terminated,
             is_unresponsive: false,
--- a/crates/turmeric-jobs/src/attempts/heartbeats.rs
+++ b/crates/turmeric-jobs/src/attempts/heartbeats.rs
@@ -116,6 +116,8 @@
                 return HeartbeatVerdict::Odd { reason };
             }
         }
+        // An endpoint that sends heartbeats has not left.
+        self.has_departed = false;
         self.endpoint_info = Some(EndpointInfo {
             is_draining: info.is_draining || was_draining,
             ..info
--- a/crates/turmeric-jobs/tests/silent_workers.rs
+++ b/crates/turmeric-jobs/tests/silent_workers.rs
@@ -288,3 +288,36 @@
     assert!(!lease.has_expired(MonoTime::from_millis(5_000 * 102 / 100)));
     assert!(lease.has_expired(MonoTime::from_millis(6_000)));
 }
+
+/// Guards against two runs of one task: a deregistration that was sent by an earlier incarnation
+/// arrives late, and the endpoint of now goes on with what it runs.
+#[test]
+fn deregistration_of_an_endpoint_that_answers_terminates_nothing() {
+    let mut pair = SilentPair::new().with_start(StartAnswer::Started);
+    pair.table.announce_departure();
+    let report = pair.report();
+    assert!(!report.is_terminated);
+    // Until the next heartbeat, nothing more is placed there.
+    assert!(report.endpoint_info.clone().unwrap().is_draining);
+    let info = EndpointInfo {
+        is_draining: false,
+        ..report.endpoint_info.unwrap()
+    };
+    pair.table.handle_heartbeat(info, 2);
+    assert!(!pair.table.is_leaving());
+    assert!(!pair.report().endpoint_info.unwrap().is_draining);
+}
+
+/// An endpoint that has deregistered and does not answer has left with all that it ran.
+#[test]
+fn endpoint_that_left_as_announced_has_terminated_its_attempts() {
+    let mut pair = SilentPair::new().with_start(StartAnswer::Started);
+    pair.table.announce_departure();
+    assert!(pair.table.is_leaving());
+    pair.table.set_departed(pair.now);
+    assert!(!pair.table.is_leaving());
+    let wall = WallTime::default();
+    pair.leader.handle_report(pair.report(), pair.now, wall);
+    let job = pair.leader.job(pair.key.task.job).unwrap();
+    assert!(job.tasks[&pair.key.task].location.is_none());
+}
