Play silent workers, paused entries and bursts of troubles in the model

Change: a worker may be silent for a while, in which it carries calls out, loses them or accepts no connection; its agent does what the daemon's loops do. An entry may be paused while reports wait, and an agent replaced by one that does not know the newer fields of reports. Bursts draw two or three troubles at most a second apart. Invariants on what runs are checked every round: two runs often overlapped for a few rounds between two events only. A job counts as failed with cause only after a worker really crashed or restarted twice under attempts that ran there or whose starts it had not answered.

The deliberate fault HastyExpiry is found.

--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -8,6 +8,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{TestRng, TestRunner};
 use rstest::rstest;
+use world::worker::WorkerSilence;
 use world::{World, WorldEvent, WorldFault};
 
 /// Number of tasks that fit on the three workers.
@@ -42,6 +43,14 @@
     }
 }
 
+fn silence(worker: usize, rounds: u64, silence: WorkerSilence) -> WorldEvent {
+    WorldEvent::Silence {
+        worker,
+        rounds,
+        silence,
+    }
+}
+
 /// Events of processes, messages and the store.
 fn process_event() -> impl Strategy<Value = WorldEvent> {
     let entry = 0..2_usize;
@@ -75,9 +84,25 @@
     ]
 }
 
-/// Events, with jobs that crash their workers and with workers that shrink and grow.
+/// Most rounds for which a worker is silent: far longer than its leases.
+const LONGEST_SILENCE: u64 = 200;
+
+fn silence_event() -> impl Strategy<Value = WorldEvent> {
+    let kind = prop_oneof![
+        Just(WorkerSilence::Mute),
+        Just(WorkerSilence::Deaf),
+        Just(WorkerSilence::Closed),
+    ];
+    // Many last about as long as a lease.
+    let rounds = prop_oneof![1..LONGEST_SILENCE, 75..125_u64];
+    (0..3_usize, rounds, kind).prop_map(|(worker, rounds, kind)| silence(worker, rounds, kind))
+}
+
+/// Events, with jobs that crash their workers, and with workers that shrink, grow and are
+/// silent.
 fn event() -> impl Strategy<Value = WorldEvent> {
     prop_oneof![
+        4 => silence_event(),
         2 => Just(WorldEvent::SubmitCrashing),
         4 => (0..3_usize, 0..=CAPACITY_TASKS as u64 / 3)
             .prop_map(|(worker, tasks)| WorldEvent::Resize { worker, tasks }),
@@ -85,6 +110,45 @@
     ]
 }
 
+/// Events that follow each other within a second.
+fn burst() -> impl Strategy<Value = Vec<WorldEvent>> {
+    let entry = 0..2_usize;
+    let worker = 0..3_usize;
+    let trouble = prop_oneof![
+        4 => silence_event(),
+        2 => any::<bool>().prop_map(|long_running| WorldEvent::Submit { long_running }),
+        2 => Just(WorldEvent::SubmitCrashing),
+        1 => entry.clone().prop_map(WorldEvent::TakeOver),
+        2 => entry.clone().prop_map(WorldEvent::TakeOverUnseen),
+        2 => (entry, 1..LONGEST_SILENCE)
+            .prop_map(|(entry, rounds)| WorldEvent::PauseEntry { entry, rounds }),
+        2 => worker.clone().prop_map(WorldEvent::KillAgent),
+        1 => (worker.clone(), any::<bool>())
+            .prop_map(|(agent, is_earlier)| WorldEvent::ReplaceAgent { agent, is_earlier }),
+        2 => worker.clone().prop_map(WorldEvent::RestartWorker),
+        2 => (worker, 0..=CAPACITY_TASKS as u64 / 3)
+            .prop_map(|(worker, tasks)| WorldEvent::Resize { worker, tasks }),
+        2 => (1..30_usize, 20..100_u64, any::<u64>())
+            .prop_map(|(count, late, seed)| faulty_rounds(count, (0, late), None, false, seed)),
+    ];
+    let spaced = (trouble, 0..20_usize).prop_map(|(event, count)| [event, rounds(count)]);
+    let troubles = proptest::collection::vec(spaced, 2..=3);
+    (troubles, 0..120_usize)
+        .prop_map(|(troubles, count)| [troubles.concat(), vec![rounds(count)]].concat())
+}
+
+/// Schedules of single events and bursts.
+fn schedule(
+    event: impl Strategy<Value = WorldEvent>,
+    count: std::ops::Range<usize>,
+) -> impl Strategy<Value = Vec<WorldEvent>> {
+    let part = prop_oneof![
+        4 => event.prop_map(|event| vec![event]),
+        1 => burst(),
+    ];
+    proptest::collection::vec(part, count).prop_map(|parts| parts.concat())
+}
+
 /// Events with jobs that allow few of their tasks on a VM; a full fleet may have no room for
 /// all tasks of these.
 fn event_with_limits() -> impl Strategy<Value = WorldEvent> {
@@ -102,6 +166,7 @@
 #[case::two_places(WorldFault::ShortLease, "runs in two places")]
 #[case::overfilled(WorldFault::CapacityLie, "is overfilled")]
 #[case::forgotten(WorldFault::ForgetProgress, "")]
+#[case::hasty_expiry(WorldFault::HastyExpiry, "runs in two places")]
 #[case::started_again(WorldFault::ForgetAttempts, "started after its end was recorded")]
 fn deliberate_fault_violates_an_invariant(#[case] fault: WorldFault, #[case] violation: &str) {
     let config = ProptestConfig {
@@ -113,7 +178,8 @@
     let rng = TestRng::deterministic_rng(config.rng_algorithm);
     let mut runner = TestRunner::new_with_rng(config, rng);
     // Other violations must not hide the one that is looked for.
-    let schedules = proptest::collection::vec(process_event(), 5..40);
+    let event = prop_oneof![4 => silence_event(), 46 => process_event()];
+    let schedules = proptest::collection::vec(event, 5..40);
     let found = runner.run(&schedules, |events| {
         let mut world = World::with_fault(Some(fault));
         for event in &events {
@@ -238,8 +304,42 @@
     faulty_rounds(120, (0, 50), None, false, 2122252551773068689),
 ])]
 fn schedule_with_crashes_violates_nothing(#[case] events: Vec<WorldEvent>) {
+    play_to_the_end(&events);
+}
+
+/// Schedules with silent workers that once violated an invariant.
+#[rstest]
+#[case::start_repeated_after_the_leases_expired(vec![
+    rounds(20),
+    silence(0, 112, WorkerSilence::Deaf),
+    SUBMIT_LONG_RUNNING,
+    rounds(160),
+])]
+#[case::start_repeated_after_the_leader_paused(vec![
+    rounds(20),
+    SUBMIT_LONG_RUNNING,
+    rounds(1),
+    silence(0, 95, WorkerSilence::Deaf),
+    rounds(5),
+    WorldEvent::PauseEntry { entry: 0, rounds: 20 },
+    rounds(160),
+])]
+#[case::lease_of_an_earlier_agent(vec![
+    SUBMIT_LONG_RUNNING,
+    rounds(20),
+    WorldEvent::KillAgent(0),
+    WorldEvent::PauseEntry { entry: 0, rounds: 10 },
+    rounds(1),
+    silence(0, 20, WorkerSilence::Mute),
+    rounds(60),
+])]
+fn schedule_with_silent_workers_violates_nothing(#[case] events: Vec<WorldEvent>) {
+    play_to_the_end(&events);
+}
+
+fn play_to_the_end(events: &[WorldEvent]) {
     let mut world = World::new();
-    for event in &events {
+    for event in events {
         world.apply(event);
         world.check().unwrap();
     }
@@ -254,7 +354,7 @@
 
     #[test]
     fn invariants_hold_in_every_schedule(
-        events in proptest::collection::vec(event_with_limits(), 5..40),
+        events in schedule(event_with_limits(), 5..40),
     ) {
         let mut world = World::new();
         for event in &events {
@@ -265,7 +365,7 @@
 
     #[test]
     fn all_jobs_finish_once_faults_end(
-        events in proptest::collection::vec(event(), 5..20),
+        events in schedule(event(), 5..20),
     ) {
         let mut world = World::new();
         for event in &events {
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -11,13 +11,15 @@
 use turmeric_jobs::{
     AttemptKey, AttemptTable, ClockReading, CommitPlan, EndpointInfo, JobCode, JobPhase,
     JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, QueuePolicy, StepSpec, TaskName, VmReport,
-    WorkerCommand,
+    WorkerCommand, WorkerLease,
 };
 use turmeric_schema::{Message, v1};
 use turmeric_types::{
     AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, SplitMixRandom, WallTime,
 };
-use worker::{CRASHING_TEXT, ModelWorker, TASK_MILLICORES, WORKER_MILLICORES};
+use worker::{
+    CRASHING_TEXT, ModelWorker, PollAnswer, TASK_MILLICORES, WORKER_MILLICORES, WorkerSilence,
+};
 
 const LEASE: LeaseLimits = LeaseLimits::new(Duration::from_secs(4));
 
@@ -42,6 +44,12 @@
 /// Length of a simulated round, in milliseconds.
 const ROUND: u64 = 50;
 
+/// Time after which an unanswered poll of a worker fails, in milliseconds.
+const POLL_TIMEOUT: u64 = 900;
+
+/// Time after which an agent leaves a leader that does not answer, in milliseconds.
+const LEADER_TIMEOUT: u64 = 1_400;
+
 #[derive(Clone, Debug)]
 pub enum WorldEvent {
     /// A caller submits a job of two steps, or a long-running job.
@@ -58,12 +66,22 @@
     TakeOverUnseen(usize),
     /// An agent is terminated and restarts with empty memory.
     KillAgent(usize),
+    /// An agent is replaced by one of an earlier version, or by one of this version.
+    ReplaceAgent { agent: usize, is_earlier: bool },
+    /// An entry does nothing for so many rounds; reports to it wait.
+    PauseEntry { entry: usize, rounds: u64 },
     /// A worker restarts under the same identifier.
     RestartWorker(usize),
     /// A worker leaves; its agent learns of it, and may stop with it.
     Leave { worker: usize, with_agent: bool },
     /// A worker begins or stops to fail every attempt that it runs.
     FailAll { worker: usize, on: bool },
+    /// A worker answers no call for so many rounds.
+    Silence {
+        worker: usize,
+        rounds: u64,
+        silence: WorkerSilence,
+    },
     /// The capacity of a worker shrinks or grows to this many tasks while tasks run.
     Resize { worker: usize, tasks: u64 },
     /// Rounds in which messages are lost, an agent is partitioned from the leaders, and orders
@@ -89,6 +107,8 @@
     ForgetProgress,
     /// Workers forget which attempts they have run.
     ForgetAttempts,
+    /// Agents declare leases expired as soon as their workers do not answer.
+    HastyExpiry,
 }
 
 /// Contents of the simulated store.
@@ -101,16 +121,61 @@
     progress: BTreeMap<JobCode, Vec<u8>>,
 }
 
+/// A report that waits for a paused entry.
+struct WaitingReport {
+    agent: usize,
+    /// Which of the agents of this number sent it.
+    agent_start: u64,
+    sent_at: u64,
+    report: VmReport,
+}
+
 struct ModelAgent {
     table: AttemptTable,
+    /// Tells it from the earlier agents of its VM.
+    start: u64,
+    /// It does not know the newer fields of messages.
+    is_earlier: bool,
+    declares_expiry_early: bool,
     fence: u64,
-    reading: Option<ClockReading>,
+    lease: WorkerLease,
+    is_unresponsive: bool,
+    /// When the poll fails that the worker has not answered so far.
+    poll_fails_at: Option<u64>,
+}
+
+impl ModelAgent {
+    /// Returns the deadline of the current lease by the worker's clock, in milliseconds.
+    fn lease_deadline(&self) -> Option<u64> {
+        let grant = self.table.grant()?;
+        Some(grant.worker_deadline(&LEASE, &self.lease.reading()?))
+    }
+
+    fn begin_incarnation(&mut self) {
+        self.lease = WorkerLease::new();
+        self.is_unresponsive = false;
+        self.poll_fails_at = None;
+        self.table.clear_synced();
+    }
+
+    /// Handles a poll that the worker has not answered.
+    fn fail_poll(&mut self, now: MonoTime) {
+        self.poll_fails_at = None;
+        self.is_unresponsive = true;
+        let has_expired = self.lease.has_expired(now) || self.declares_expiry_early;
+        if self.table.is_synced() && has_expired {
+            self.table.set_expired(now);
+        }
+    }
 }
 
 pub struct World {
     now: u64,
     store: ModelStore,
     leaders: Vec<Option<JobScheduler>>,
+    /// Until when each entry is paused.
+    paused_until: Vec<u64>,
+    waiting_reports: Vec<Vec<WaitingReport>>,
     agents: Vec<ModelAgent>,
     workers: Vec<ModelWorker>,
     next_job: u64,
@@ -119,6 +184,8 @@
     recorded_done: BTreeSet<TaskName>,
     /// Crashes of workers under each task.
     crashes: BTreeMap<TaskName, usize>,
+    /// Attempts of each task that may have run as a worker crashed or restarted.
+    crashed_attempts: BTreeMap<TaskName, BTreeSet<AttemptKey>>,
     /// Violations of invariants that `check` cannot see in the current state.
     violations: Vec<String>,
     fault: Option<WorldFault>,
@@ -208,6 +275,8 @@
             now: 100_000,
             store: ModelStore::default(),
             leaders: vec![None, None],
+            paused_until: vec![0, 0],
+            waiting_reports: vec![Vec::new(), Vec::new()],
             agents: Vec::new(),
             workers: names.iter().map(|name| ModelWorker::new(name)).collect(),
             next_job: 0,
@@ -215,6 +284,7 @@
             next_heartbeat: 0,
             recorded_done: BTreeSet::new(),
             crashes: BTreeMap::new(),
+            crashed_attempts: BTreeMap::new(),
             violations: Vec::new(),
             fault,
         };
@@ -248,8 +318,13 @@
         self.next_fence += 1;
         ModelAgent {
             table,
+            start: self.next_fence,
+            is_earlier: false,
+            declares_expiry_early: self.fault == Some(WorldFault::HastyExpiry),
             fence: self.next_fence,
-            reading: None,
+            lease: WorkerLease::new(),
+            is_unresponsive: false,
+            poll_fails_at: None,
         }
     }
 
@@ -298,6 +373,15 @@
             WorldEvent::TakeOver(entry) => self.take_over(*entry, false),
             WorldEvent::TakeOverUnseen(entry) => self.take_over(*entry, true),
             WorldEvent::KillAgent(number) => self.agents[*number] = self.new_agent(*number),
+            WorldEvent::ReplaceAgent { agent, is_earlier } => {
+                self.agents[*agent] = ModelAgent {
+                    is_earlier: *is_earlier,
+                    ..self.new_agent(*agent)
+                };
+            }
+            WorldEvent::PauseEntry { entry, rounds } => {
+                self.paused_until[*entry] = self.now + rounds * ROUND;
+            }
             WorldEvent::RestartWorker(number) => {
                 let now = self.now;
                 self.workers[*number].restart(now);
@@ -307,6 +391,14 @@
                 let now = self.now;
                 self.workers[*worker].resize(*tasks, now);
             }
+            WorldEvent::Silence {
+                worker,
+                rounds,
+                silence,
+            } => {
+                let until = self.now + rounds * ROUND;
+                self.workers[*worker].set_silence(until, *silence);
+            }
             WorldEvent::FailAll { worker, on } => self.workers[*worker].fail_all = *on,
             WorldEvent::Rounds {
                 count,
@@ -351,6 +443,7 @@
         if !is_unseen {
             self.leaders[1 - entry] = None;
         }
+        self.waiting_reports[entry].clear();
         self.store.epoch += 1;
         self.store.sequence = 0;
         let mut terms = TERMS;
@@ -399,6 +492,8 @@
             }
             self.send_commands(number, random, late_percent);
         }
+        // Two runs of a task may overlap for a few rounds only.
+        self.violations.extend(self.violation());
         for entry in 0..self.leaders.len() {
             self.run_leader(entry, store_down);
             for number in 0..self.agents.len() {
@@ -413,60 +508,74 @@
     /// Polls a worker once, as its agent's loop does.
     fn poll_worker(&mut self, number: usize) {
         let now = self.mono();
-        if self.workers[number].has_left {
-            return;
-        }
         let mut table = std::mem::take(&mut self.agents[number].table);
         self.send_heartbeats(number, &mut table);
         let worker = &mut self.workers[number];
         let agent = &mut self.agents[number];
         agent.table = table;
-        let info = worker.info();
-        let known = agent.table.incarnation().map(|known| &known.endpoint);
-        if known != Some(&info.incarnation.endpoint) {
-            if agent.table.refute_endpoint() {
-                agent.reading = None;
-            }
+        match agent.poll_fails_at {
+            Some(at) if self.now < at => return,
+            Some(_) => agent.fail_poll(now),
+            None => {}
+        }
+        if agent.table.incarnation().is_none() {
             return;
         }
         if !agent.table.is_synced() {
             self.next_fence += 1;
             agent.fence = self.next_fence.max(worker.fence());
         }
-        let deadline = agent
-            .table
-            .grant()
-            .zip(agent.reading)
-            .map(|(grant, reading)| grant.worker_deadline(&LEASE, &reading));
+        // The leases of an unresponsive worker are not renewed, so that they expire.
+        let deadline = agent.lease_deadline().filter(|_| !agent.is_unresponsive);
+        agent.lease.record_deadline(deadline.unwrap_or_default());
         let mark = agent.table.list_mark();
-        let Some(lists) = worker.renew(agent.fence, agent.table.recorded_end(), deadline, self.now)
-        else {
-            agent.table.clear_synced();
-            return;
-        };
-        let started_at_millis = info.incarnation.started_at_millis;
-        if agent.table.confirm_incarnation(mark, started_at_millis) {
-            agent.reading = None;
+        let info = worker.info().incarnation;
+        let known = agent.table.incarnation().map(|known| &known.endpoint);
+        if known != Some(&info.endpoint) {
+            if worker.answers(self.now) && agent.table.refute_endpoint() {
+                agent.begin_incarnation();
+            }
             return;
         }
-        agent.reading = Some(ClockReading {
-            received_at: now,
-            worker_millis: worker.clock(self.now),
-        });
-        agent.table.set_synced();
-        agent.table.apply_lists(mark, lists);
+        match worker.renew(agent.fence, agent.table.recorded_end(), deadline, self.now) {
+            PollAnswer::Lists(lists) => {
+                if agent
+                    .table
+                    .confirm_incarnation(mark, info.started_at_millis)
+                {
+                    agent.begin_incarnation();
+                    return;
+                }
+                agent.is_unresponsive = false;
+                agent.lease.record_reading(ClockReading {
+                    received_at: now,
+                    worker_millis: worker.clock(self.now),
+                });
+                if !agent.table.is_synced() {
+                    agent.lease.record_fencing(&LEASE, now);
+                }
+                agent.table.set_synced();
+                agent.table.apply_lists(mark, lists);
+            }
+            PollAnswer::Fenced => agent.table.clear_synced(),
+            PollAnswer::Closed => agent.fail_poll(now),
+            PollAnswer::Unknown => agent.poll_fails_at = Some(self.now + POLL_TIMEOUT),
+        }
     }
 
     fn send_commands(&mut self, number: usize, random: &mut SplitMixRandom, late_percent: u64) {
         let now = self.mono();
         let agent = &mut self.agents[number];
-        let Some((grant, reading)) = agent.table.grant().zip(agent.reading) else {
+        let Some(deadline) = agent.lease_deadline() else {
             return;
         };
-        let deadline = grant.worker_deadline(&LEASE, &reading);
         let fence = agent.fence;
         let mut started = Vec::new();
-        for call in agent.table.take_commands(now) {
+        let commands = agent.table.take_commands(now);
+        if !commands.is_empty() {
+            agent.lease.record_deadline(deadline);
+        }
+        for call in commands {
             let is_late = random.next_bits() % 100 < late_percent;
             let late_at = is_late.then(|| self.now + 2_000 + random.next_bits() % 10_000);
             let worker = &mut self.workers[number];
@@ -487,6 +596,12 @@
 
     fn record_starts(&mut self, started: &[AttemptKey]) {
         for worker in &mut self.workers {
+            for key in worker.crashed_under.drain(..) {
+                self.crashed_attempts
+                    .entry(key.task)
+                    .or_default()
+                    .insert(key);
+            }
             for task in worker.crashed_by.drain(..) {
                 let crashes = self.crashes.entry(task).or_default();
                 *crashes += 1;
@@ -511,6 +626,10 @@
     /// Runs a leader once: reads the store, places tasks and writes.
     fn run_leader(&mut self, entry: usize, store_down: bool) {
         let (now, wall) = (self.mono(), self.wall());
+        if self.is_paused(entry) {
+            return;
+        }
+        self.handle_waiting_reports(entry);
         let Some(mut leader) = self.leaders[entry].take() else {
             return;
         };
@@ -557,7 +676,15 @@
                 }
             }
             let has_cause = progress.tasks.iter().any(|task| {
-                task.failed_runs.len() >= ATTEMPT_LIMIT || task.crashed_runs.len() >= FATAL_CRASHES
+                let name = TaskName {
+                    job: *code,
+                    occurrence: task.occurrence,
+                    step: task.step,
+                    index: task.index,
+                };
+                let crashes = self.crashed_attempts.get(&name).map(BTreeSet::len);
+                task.failed_runs.len() >= ATTEMPT_LIMIT
+                    || crashes.unwrap_or_default() >= FATAL_CRASHES
             });
             if JobPhase::read(progress.phase) == Some(JobPhase::Failed) && !has_cause {
                 self.violations.push(format!("{code} failed without cause"));
@@ -571,66 +698,108 @@
         }
     }
 
+    fn is_paused(&self, entry: usize) -> bool {
+        self.now < self.paused_until[entry]
+    }
+
     /// Sends an agent's report to an entry and applies the orders it returns.
     fn exchange(&mut self, entry: usize, number: usize) {
-        let (now, wall) = (self.mono(), self.wall());
-        let Some(leader) = &mut self.leaders[entry] else {
-            return;
-        };
+        let now = self.mono();
         let agent = &mut self.agents[number];
         // The agent reports only to the newest leader that it knows of.
-        if leader.epoch() < agent.table.epoch() {
+        let is_newest = |leader: &JobScheduler| leader.epoch() >= agent.table.epoch();
+        if !self.leaders[entry].as_ref().is_some_and(is_newest) {
             return;
         }
-        let vm = format!("w{number}");
-        let mut report = agent.table.report(&vm, "morava-a", now).write();
-        report.unresponsive = self.workers[number].down_until.is_some();
-        leader.handle_report(VmReport::read(report).unwrap(), now, wall);
-        if now.since(leader.confirmed_at()) > TERMS.confirmation_timeout {
-            return;
+        let mut message = agent
+            .table
+            .report(&format!("w{number}"), "morava-a", now)
+            .write();
+        message.unresponsive = agent.is_unresponsive;
+        if agent.is_earlier {
+            message.unresponsive = false;
+            message.crash = None;
+        }
+        let report = WaitingReport {
+            agent: number,
+            agent_start: agent.start,
+            sent_at: self.now,
+            report: VmReport::read(message).unwrap(),
+        };
+        if self.is_paused(entry) {
+            self.waiting_reports[entry].push(report);
+        } else {
+            self.handle_report(entry, report);
+        }
+    }
+
+    fn handle_waiting_reports(&mut self, entry: usize) {
+        for report in std::mem::take(&mut self.waiting_reports[entry]) {
+            self.handle_report(entry, report);
         }
-        if let Some(orders) = leader.orders(&vm, now) {
+    }
+
+    /// Has an entry handle a report, and sends the orders that answer it.
+    fn handle_report(&mut self, entry: usize, waiting: WaitingReport) {
+        let (now, wall) = (self.mono(), self.wall());
+        let Some(leader) = &mut self.leaders[entry] else {
+            return;
+        };
+        let vm = waiting.report.vm.clone();
+        leader.handle_report(waiting.report, now, wall);
+        let agent = &mut self.agents[waiting.agent];
+        let is_connected =
+            agent.start == waiting.agent_start && self.now <= waiting.sent_at + LEADER_TIMEOUT;
+        let is_confirmed = now.since(leader.confirmed_at()) <= TERMS.confirmation_timeout;
+        if let (true, true, Some(orders)) = (is_connected, is_confirmed, leader.orders(&vm, now)) {
             agent.table.apply_orders(&orders, now).unwrap();
         }
     }
 
-    /// Checks the invariants on what the workers actually run.
-    pub fn check(&self) -> Result<(), TestCaseError> {
+    /// Returns a violation of the invariants on what the workers actually run.
+    fn violation(&self) -> Option<String> {
         let mut seen = BTreeSet::new();
         for worker in &self.workers {
-            for task in worker.tasks() {
-                prop_assert!(seen.insert(task), "{} runs in two places", task);
+            let name = &worker.name;
+            if let Some(task) = worker.tasks().into_iter().find(|task| !seen.insert(*task)) {
+                return Some(format!("{task} runs in two places"));
+            }
+            if worker.is_overfilled() {
+                return Some(format!("{name} is overfilled"));
+            }
+            if let Some(text) = worker.overfilling_starts.first() {
+                return Some(text.clone());
             }
-            prop_assert!(!worker.is_overfilled(), "{} is overfilled", worker.name);
-            let starts = &worker.overfilling_starts;
-            prop_assert!(starts.is_empty(), "{starts:?}");
             let mut counts: BTreeMap<TaskName, u32> = BTreeMap::new();
             for task in worker.tasks() {
                 *counts.entry(task.first_of_step()).or_default() += 1;
             }
             for (first, count) in counts {
-                let is_limited = self
-                    .store
-                    .intake
-                    .get(&first.job)
-                    .is_some_and(|spec| spec.steps[first.step as usize].vm_limit.is_some());
-                prop_assert!(
-                    !is_limited || count <= VM_LIMIT,
-                    "{} has {count} tasks of the step of {first}",
-                    worker.name
-                );
+                let job = self.store.intake.get(&first.job);
+                let limit = job.and_then(|spec| spec.steps[first.step as usize].vm_limit);
+                if limit.is_some_and(|limit| count > limit) {
+                    return Some(format!("{name} has {count} tasks of the step of {first}"));
+                }
             }
         }
-        prop_assert!(self.violations.is_empty(), "{:?}", self.violations);
+        None
+    }
+
+    /// Checks the invariants in all rounds so far and in the current state.
+    pub fn check(&self) -> Result<(), TestCaseError> {
+        let violation = self.violations.first().cloned().or(self.violation());
+        prop_assert!(violation.is_none(), "{:?}", violation);
         Ok(())
     }
 
     /// Restores all processes, and runs 1,600 rounds without faults.
     pub fn run_without_faults(&mut self) {
-        self.take_over(0, false);
         let now = self.now;
+        self.paused_until.fill(now);
+        self.take_over(0, false);
         for worker in &mut self.workers {
             worker.fail_all = false;
+            worker.set_silence(now, WorkerSilence::Deaf);
             worker.resize(WORKER_MILLICORES / TASK_MILLICORES, now);
             if worker.has_left {
                 worker.restart(now);
--- a/crates/turmeric-jobs/tests/world/worker.rs
+++ b/crates/turmeric-jobs/tests/world/worker.rs
@@ -37,6 +37,26 @@
     Stop(AttemptKey),
 }
 
+/// What a worker does with the calls that it receives while it answers none of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkerSilence {
+    /// It carries them out.
+    Mute,
+    /// It loses them.
+    Deaf,
+    /// It accepts no connection.
+    Closed,
+}
+
+/// A worker's answer to a poll.
+pub enum PollAnswer {
+    Lists(WorkerLists),
+    Fenced,
+    /// The connection was refused.
+    Closed,
+    Unknown,
+}
+
 #[derive(Clone, Debug)]
 struct Running {
     done: u64,
@@ -57,12 +77,19 @@
     /// Unanswered orders, with the time when each is carried out and its fencing token.
     late: Vec<(u64, u64, Order)>,
     pub fail_all: bool,
+    /// Until when it answers no call.
+    silence: Option<(u64, WorkerSilence)>,
     /// It has left, and runs nothing until it restarts.
     pub has_left: bool,
     /// Until when it is down after a crash.
     pub down_until: Option<u64>,
     /// Tasks under which it crashed, until the simulation has taken them.
     pub crashed_by: Vec<TaskName>,
+    /// Attempts of which a start was sent and not answered.
+    unanswered: BTreeSet<AttemptKey>,
+    /// Attempts that ran as it crashed or restarted, or may have run by what their senders know,
+    /// until the simulation has taken them.
+    pub crashed_under: Vec<AttemptKey>,
     /// Its processors, in thousandths, as its heartbeats state them.
     pub millicores: u64,
     /// Larger capacities that it had, each with the time until which starts may rely on it.
@@ -94,9 +121,12 @@
             next_end: 1,
             late: Vec::new(),
             fail_all: false,
+            silence: None,
             has_left: false,
             down_until: None,
             crashed_by: Vec::new(),
+            unanswered: BTreeSet::new(),
+            crashed_under: Vec::new(),
             millicores: WORKER_MILLICORES,
             earlier: Vec::new(),
             accepts_all: false,
@@ -138,15 +168,38 @@
         self.clock_offset = now;
         self.fence = 0;
         self.deadline = 0;
+        self.record_lost_attempts();
         self.running.clear();
         self.closed.clear();
         self.ends.clear();
         self.next_end = 1;
         self.late.clear();
+        self.silence = None;
         self.has_left = false;
         self.down_until = None;
     }
 
+    /// Answers no call until `until`, and goes on with what it runs.
+    pub fn set_silence(&mut self, until: u64, silence: WorkerSilence) {
+        self.silence = Some((until, silence));
+    }
+
+    fn silence(&self, now: u64) -> Option<WorkerSilence> {
+        let (until, silence) = self.silence?;
+        (now < until).then_some(silence)
+    }
+
+    fn record_lost_attempts(&mut self) {
+        let has_ended = |key: &AttemptKey| {
+            let last = self.closed.get(&key.task);
+            last.is_some_and(|last| *last >= key.attempt)
+        };
+        let unanswered = std::mem::take(&mut self.unanswered).into_iter();
+        let unanswered = unanswered.filter(|key| !has_ended(key));
+        self.crashed_under.extend(unanswered);
+        self.crashed_under.extend(self.running.keys());
+    }
+
     /// Shrinks or grows to a capacity for this many tasks, while tasks run.
     pub fn resize(&mut self, tasks: u64, now: u64) {
         let millicores = tasks * TASK_MILLICORES;
@@ -165,6 +218,7 @@
 
     /// Crashes under a task; it is back after some seconds with nothing running.
     fn crash(&mut self, task: TaskName, now: u64) {
+        self.record_lost_attempts();
         self.leave();
         self.down_until = Some(now + CRASH_DURATION);
         self.crashed_by.push(task);
@@ -278,7 +332,12 @@
                         .get(&key.task)
                         .is_some_and(|last| *last >= key.attempt);
                 let is_late = *deadline <= self.clock(now);
-                if self.running.contains_key(&key) || has_ended || is_late {
+                if self.running.contains_key(&key) || is_late {
+                    return None;
+                }
+                // The lease is also taken from a start that is rejected.
+                self.extend(*deadline, now);
+                if has_ended {
                     return None;
                 }
                 let used = (self.running.len() as u64 + 1) * TASK_MILLICORES;
@@ -298,7 +357,6 @@
                     );
                     self.overfilling_starts.push(text);
                 }
-                self.extend(*deadline, now);
                 let long_running = plan.latency_target_millis.is_some();
                 self.running.insert(
                     key,
@@ -328,7 +386,14 @@
             plan: plan.clone(),
             deadline,
         };
-        if self.has_left {
+        let silence = self.silence(now);
+        if silence == Some(WorkerSilence::Closed) {
+            return (StartAnswer::NotSent, None);
+        }
+        if silence.is_some() || late_at.is_some() || self.has_left {
+            self.unanswered.insert(plan.key);
+        }
+        if self.has_left || silence == Some(WorkerSilence::Deaf) {
             return (StartAnswer::Unknown, None);
         }
         if let Some(at) = late_at {
@@ -339,7 +404,7 @@
             return (StartAnswer::Unknown, None);
         }
         let started = self.carry_out(fence, &order, now, false);
-        let answer = if self.down_until.is_some() {
+        let answer = if self.down_until.is_some() || silence.is_some() {
             StartAnswer::Unknown
         } else if self.running.contains_key(&plan.key) {
             StartAnswer::Started
@@ -356,7 +421,9 @@
         now: u64,
         late_at: Option<u64>,
     ) -> StopAnswer {
-        if self.has_left {
+        let silence = self.silence(now);
+        let is_lost = matches!(silence, Some(WorkerSilence::Deaf | WorkerSilence::Closed));
+        if self.has_left || is_lost {
             return StopAnswer::Unknown;
         }
         let order = Order::Stop(key);
@@ -368,24 +435,45 @@
             return StopAnswer::Unknown;
         }
         self.carry_out(fence, &order, now, false);
-        StopAnswer::Accepted
+        match silence {
+            Some(_) => StopAnswer::Unknown,
+            None => StopAnswer::Accepted,
+        }
+    }
+
+    /// Returns whether it answers calls.
+    pub fn answers(&self, now: u64) -> bool {
+        !self.has_left && self.silence(now).is_none()
     }
 
-    /// Renews the lease and lists attempts and ends; [`None`] if a higher fencing token is known.
+    /// Renews the lease and lists attempts and ends.
     pub fn renew(
         &mut self,
         fence: u64,
         recorded: u64,
         deadline: Option<u64>,
         now: u64,
-    ) -> Option<WorkerLists> {
+    ) -> PollAnswer {
+        let silence = self.silence(now);
+        if self.has_left || silence == Some(WorkerSilence::Closed) {
+            return PollAnswer::Closed;
+        }
+        if silence == Some(WorkerSilence::Deaf) {
+            return PollAnswer::Unknown;
+        }
         if fence < self.fence {
-            return None;
+            return match silence {
+                Some(_) => PollAnswer::Unknown,
+                None => PollAnswer::Fenced,
+            };
         }
         self.fence = fence;
         self.extend(deadline.unwrap_or(0), now);
         self.ends = self.ends.split_off(&(recorded + 1));
-        Some(WorkerLists {
+        if silence.is_some() {
+            return PollAnswer::Unknown;
+        }
+        PollAnswer::Lists(WorkerLists {
             running: self
                 .running
                 .iter()
