--- a/crates/turmeric-jobs/tests/world/worker.rs
+++ b/crates/turmeric-jobs/tests/world/worker.rs
@@ -164,7 +164,8 @@
     /// fencing token could not reject them, and the platform's pages say that all rules can be
     /// kept.
     pub fn restart(&mut self, now: u64) {
-        self.incarnation += 1;
+        // The start of an odd heartbeat, one less, must not be that of the earlier incarnation.
+        self.incarnation += 10;
         self.clock_offset = now;
         self.fence = 0;
         self.deadline = 0;
