Delay the messages between agents and leaders in the model

The model delivered a report and the answer to it in the same moment, so no test met orders or reports that were on their way while something else happened.

Change: a schedule may delay what passes between agents and leaders. Agents connect again now and then; what they had sent before arrives later, or not.

--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -158,6 +158,14 @@
     ]
 }
 
+/// Events with messages that are delayed, and overtaken by those of later connections.
+fn event_with_delays() -> impl Strategy<Value = WorldEvent> {
+    prop_oneof![
+        6 => (0..95_u64).prop_map(|percent| WorldEvent::Delay { percent }),
+        49 => event_with_limits(),
+    ]
+}
+
 /// Number of schedules within which a deliberate fault must be found.
 const FAULT_CASES: u32 = 600;
 
@@ -363,6 +371,17 @@
         }
     }
 
+    #[test]
+    fn invariants_hold_while_messages_are_delayed(
+        events in proptest::collection::vec(event_with_delays(), 5..40),
+    ) {
+        let mut world = World::new();
+        for event in &events {
+            world.apply(event);
+            world.check()?;
+        }
+    }
+
     #[test]
     fn all_jobs_finish_once_faults_end(
         events in schedule(event(), 5..20),
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod worker;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -41,6 +41,9 @@
 /// Most tasks of a long-running step on one VM.
 const VM_LIMIT: u32 = 2;
 
+/// Share of the rounds in which an agent connects to a leader again while messages are delayed.
+const RECONNECT_PERCENT: u64 = 5;
+
 /// Length of a simulated round, in milliseconds.
 const ROUND: u64 = 50;
 
@@ -84,6 +87,9 @@
     },
     /// The capacity of a worker shrinks or grows to this many tasks while tasks run.
     Resize { worker: usize, tasks: u64 },
+    /// From now on, this share of the rounds delivers no message between an agent and a leader;
+    /// agents connect again now and then, and what they had sent before arrives later.
+    Delay { percent: u64 },
     /// Rounds in which messages are lost, an agent is partitioned from the leaders, and orders
     /// are carried out seconds late.
     Rounds {
@@ -169,8 +175,23 @@
     }
 }
 
+/// Connection of an agent to a leader, with the messages that are on their way.
+struct ModelLink {
+    entry: usize,
+    agent: usize,
+    number: u64,
+    reports: VecDeque<VmReport>,
+    orders: VecDeque<v1::VmOrders>,
+}
+
 pub struct World {
     now: u64,
+    delay_percent: u64,
+    link_count: u64,
+    /// The connections that agents use, by entry and agent.
+    links: BTreeMap<(usize, usize), ModelLink>,
+    /// Connections that agents have replaced, with reports that have not arrived.
+    replaced_links: Vec<ModelLink>,
     store: ModelStore,
     leaders: Vec<Option<JobScheduler>>,
     /// Until when each entry is paused.
@@ -273,6 +294,10 @@
         let names = ["w0", "w1", "w2"];
         let mut world = Self {
             now: 100_000,
+            delay_percent: 0,
+            link_count: 0,
+            links: BTreeMap::new(),
+            replaced_links: Vec::new(),
             store: ModelStore::default(),
             leaders: vec![None, None],
             paused_until: vec![0, 0],
@@ -372,16 +397,25 @@
             }
             WorldEvent::TakeOver(entry) => self.take_over(*entry, false),
             WorldEvent::TakeOverUnseen(entry) => self.take_over(*entry, true),
-            WorldEvent::KillAgent(number) => self.agents[*number] = self.new_agent(*number),
             WorldEvent::ReplaceAgent { agent, is_earlier } => {
                 self.agents[*agent] = ModelAgent {
                     is_earlier: *is_earlier,
                     ..self.new_agent(*agent)
                 };
+                for entry in 0..self.leaders.len() {
+                    self.replace_link(entry, *agent);
+                }
             }
             WorldEvent::PauseEntry { entry, rounds } => {
                 self.paused_until[*entry] = self.now + rounds * ROUND;
             }
+            WorldEvent::KillAgent(number) => {
+                self.agents[*number] = self.new_agent(*number);
+                for entry in 0..self.leaders.len() {
+                    self.replace_link(entry, *number);
+                }
+            }
+            WorldEvent::Delay { percent } => self.delay_percent = *percent,
             WorldEvent::RestartWorker(number) => {
                 let now = self.now;
                 self.workers[*number].restart(now);
@@ -444,6 +478,9 @@
             self.leaders[1 - entry] = None;
         }
         self.waiting_reports[entry].clear();
+        // The connections end with the leadership that they were opened to.
+        self.links.retain(|(known, _), _| *known != entry);
+        self.replaced_links.retain(|link| link.entry != entry);
         self.store.epoch += 1;
         self.store.sequence = 0;
         let mut terms = TERMS;
@@ -498,11 +535,116 @@
             self.run_leader(entry, store_down);
             for number in 0..self.agents.len() {
                 let is_lost = random.next_bits() % 100 < loss_percent;
-                if cut_agent != Some(number) && !is_lost {
+                if cut_agent == Some(number) || is_lost {
+                    continue;
+                }
+                if self.delay_percent == 0 {
                     self.exchange(entry, number);
+                } else {
+                    self.exchange_delayed(entry, number, random);
                 }
             }
         }
+        self.deliver_replaced(random);
+    }
+
+    /// Replaces an agent's connection: no orders arrive over the earlier one any more, but
+    /// what the agent had sent may.
+    fn replace_link(&mut self, entry: usize, agent: usize) {
+        if let Some(mut link) = self.links.remove(&(entry, agent)) {
+            link.orders.clear();
+            self.replaced_links.push(link);
+        }
+    }
+
+    /// Sends an agent's report to an entry, and delivers what is on its way unless that is
+    /// delayed in this round.
+    fn exchange_delayed(&mut self, entry: usize, number: usize, random: &mut SplitMixRandom) {
+        let mut happens = |percent: u64| random.next_bits() % 100 < percent;
+        if happens(RECONNECT_PERCENT) {
+            self.replace_link(entry, number);
+        }
+        let (reports_pass, orders_pass) =
+            (!happens(self.delay_percent), !happens(self.delay_percent));
+        let Some(epoch) = self.leaders[entry].as_ref().map(JobScheduler::epoch) else {
+            return;
+        };
+        // The agent reports only to the newest leader that it knows of.
+        if epoch < self.agents[number].table.epoch() {
+            self.replace_link(entry, number);
+            return;
+        }
+        let report = self.build_report(number);
+        self.link_count += 1;
+        let mut link = self
+            .links
+            .remove(&(entry, number))
+            .unwrap_or_else(|| ModelLink {
+                entry,
+                agent: number,
+                number: self.link_count,
+                reports: VecDeque::new(),
+                orders: VecDeque::new(),
+            });
+        link.reports.push_back(report);
+        if reports_pass && !self.is_paused(entry) {
+            self.deliver_reports(&mut link);
+        }
+        if orders_pass {
+            let now = self.mono();
+            for orders in link.orders.drain(..) {
+                let table = &mut self.agents[number].table;
+                table.apply_orders(&orders, now).unwrap();
+            }
+        }
+        self.links.insert((entry, number), link);
+    }
+
+    /// Delivers the reports of a connection, and adds the leader's orders to it.
+    fn deliver_reports(&mut self, link: &mut ModelLink) {
+        let (now, wall) = (self.mono(), self.wall());
+        let Some(leader) = &mut self.leaders[link.entry] else {
+            return;
+        };
+        let vm = format!("w{}", link.agent);
+        for report in link.reports.drain(..) {
+            if !leader.handle_link_report(link.number, report, now, wall)
+                || now.since(leader.confirmed_at()) > TERMS.confirmation_timeout
+            {
+                continue;
+            }
+            link.orders.extend(leader.orders(&vm, now));
+        }
+    }
+
+    /// Delivers the reports of some of the connections that agents have replaced.
+    fn deliver_replaced(&mut self, random: &mut SplitMixRandom) {
+        if self.replaced_links.is_empty() {
+            return;
+        }
+        let links = std::mem::take(&mut self.replaced_links);
+        for mut link in links {
+            let is_delayed = random.next_bits() % 100 < self.delay_percent;
+            if is_delayed || self.is_paused(link.entry) {
+                self.replaced_links.push(link);
+            } else {
+                self.deliver_reports(&mut link);
+            }
+        }
+    }
+
+    fn build_report(&self, number: usize) -> VmReport {
+        let agent = &self.agents[number];
+        let mut message = agent
+            .table
+            .report(&format!("w{number}"), "morava-a", self.mono())
+            .write();
+        message.unresponsive = agent.is_unresponsive;
+        if agent.is_earlier {
+            message.unresponsive = false;
+            message.crash = None;
+        }
+        VmReport::read(message).unwrap()
     }
 
     /// Polls a worker once, as its agent's loop does.
@@ -704,27 +846,17 @@
 
     /// Sends an agent's report to an entry and applies the orders it returns.
     fn exchange(&mut self, entry: usize, number: usize) {
-        let now = self.mono();
-        let agent = &mut self.agents[number];
+        let agent = &self.agents[number];
         // The agent reports only to the newest leader that it knows of.
         let is_newest = |leader: &JobScheduler| leader.epoch() >= agent.table.epoch();
         if !self.leaders[entry].as_ref().is_some_and(is_newest) {
             return;
         }
-        let mut message = agent
-            .table
-            .report(&format!("w{number}"), "morava-a", now)
-            .write();
-        message.unresponsive = agent.is_unresponsive;
-        if agent.is_earlier {
-            message.unresponsive = false;
-            message.crash = None;
-        }
         let report = WaitingReport {
             agent: number,
             agent_start: agent.start,
             sent_at: self.now,
-            report: VmReport::read(message).unwrap(),
+            report: self.build_report(number),
         };
         if self.is_paused(entry) {
             self.waiting_reports[entry].push(report);
@@ -742,11 +874,13 @@
     /// Has an entry handle a report, and sends the orders that answer it.
     fn handle_report(&mut self, entry: usize, waiting: WaitingReport) {
         let (now, wall) = (self.mono(), self.wall());
+        self.replace_link(entry, waiting.agent);
+        self.link_count += 1;
         let Some(leader) = &mut self.leaders[entry] else {
             return;
         };
         let vm = waiting.report.vm.clone();
-        leader.handle_report(waiting.report, now, wall);
+        leader.handle_link_report(self.link_count, waiting.report, now, wall);
         let agent = &mut self.agents[waiting.agent];
         let is_connected =
             agent.start == waiting.agent_start && self.now <= waiting.sent_at + LEADER_TIMEOUT;
@@ -794,6 +928,7 @@
 
     /// Restores all processes, and runs 1,600 rounds without faults.
     pub fn run_without_faults(&mut self) {
+        self.delay_percent = 0;
         let now = self.now;
         self.paused_until.fill(now);
         self.take_over(0, false);
