Blame no task alone when nobody can say what else was starting

The agent was killed as its worker was down. So nobody told the leader that another start had gone unanswered for 1.6 s; the worker carried it out last and crashed, and the long-running task, started 0.6 s before, was blamed alone. Ruled out: odd heartbeats; the replay without them ends the same. Change: without a report of an agent that was there, an attempt without any progress, ordered longer ago than the window of attribution, counts as one whose start was never confirmed, so the blame is shared. The limit of four crashes for any task stands.

--- a/crates/turmeric-jobs/src/scheduler/crashes.rs
+++ b/crates/turmeric-jobs/src/scheduler/crashes.rs
@@ -49,9 +49,16 @@
         if self.report.is_some_and(is_unconfirmed) {
             return StartTime::Unconfirmed;
         }
-        attempt
-            .age_at(at)
-            .map_or(StartTime::Unknown, StartTime::Before)
+        let Some(age) = attempt.age_at(at) else {
+            return StartTime::Unknown;
+        };
+        let was_there =
+            |report: &IncarnationCrash| report.incarnation == attempt.location.incarnation;
+        // An agent that was not there cannot tell which starts the worker had confirmed.
+        if age > ATTRIBUTION_WINDOW && attempt.percent == 0 && !self.report.is_some_and(was_there) {
+            return StartTime::Unconfirmed;
+        }
+        StartTime::Before(age)
     }
 
     fn may_have_run(&self, key: &AttemptKey, attempt: &VmAttempt) -> bool {
