Let the model's other writer send only what the decoder lets through

A model agent that had just started took an odd first heartbeat with the number 10^6 to 2^50 and 20 times the capacity, and placed by it until the next one. Cause: the model passes heartbeats to the table directly. Change: the model sends such a number only to an agent that knows an incarnation.

--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -363,7 +363,11 @@
         let mut random = SplitMixRandom::new(self.now * 3 + number as u64);
         if random.next_bits().is_multiple_of(4) {
             let (odd, odd_number) = odd_heartbeat(&info, self.next_heartbeat, &mut random);
-            table.handle_heartbeat(odd, odd_number);
+            // Decoding rejects numbers that no endpoint can have reached; a first heartbeat with a
+            // possible one cannot be told from the endpoint's.
+            if table.incarnation().is_some() || odd_number <= self.next_heartbeat + 1 {
+                table.handle_heartbeat(odd, odd_number);
+            }
         }
         self.next_heartbeat += 1;
         table.handle_heartbeat(info, self.next_heartbeat);
