Start nothing at a worker that may have restarted

The new incarnation's clock begins anew, so that it carries such a start out late, under a lease that the agent does not count.

Change: while a heartbeat names a later incarnation of the endpoint that the worker has not confirmed, no command is sent. nothing_is_started_at_a_worker_that_may_have_restarted fails without it.

--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -308,7 +308,7 @@
 
     /// Returns the commands that are due, each once until it is answered.
     pub fn take_commands(&mut self, now: MonoTime) -> Vec<WorkerCommand> {
-        if !self.is_synced {
+        if !self.is_synced || self.may_have_restarted() {
             return Vec::new();
         }
         let is_fresh = self
--- a/crates/turmeric-jobs/src/attempts/heartbeats.rs
+++ b/crates/turmeric-jobs/src/attempts/heartbeats.rs
@@ -149,6 +149,17 @@
         HeartbeatVerdict::Unconfirmed { is_first }
     }
 
+    /// Returns whether a heartbeat names a later incarnation of the endpoint that the worker has
+    /// not confirmed. A start for the known one could be carried out there under a lease that
+    /// this agent does not count.
+    pub(super) fn may_have_restarted(&self) -> bool {
+        let (Some(known), Some(candidate)) = (self.incarnation(), &self.candidate) else {
+            return false;
+        };
+        let named = &candidate.info.incarnation;
+        named.endpoint == known.endpoint && named.started_at_millis > known.started_at_millis
+    }
+
     /// Handles the incarnation that an answer of the worker states, to a call to the known
     /// endpoint that was sent when [`Self::list_mark`] returned `mark`; zero if it states none.
     ///
--- a/crates/turmeric-jobs/tests/heartbeats.rs
+++ b/crates/turmeric-jobs/tests/heartbeats.rs
@@ -4,8 +4,12 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
-use turmeric_jobs::{AttemptTable, EndpointIncarnation, EndpointInfo, HeartbeatVerdict};
-use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, ResourceSet};
+use turmeric_jobs::{
+    AttemptKey, AttemptNumber, AttemptTable, EndpointIncarnation, EndpointInfo, HeartbeatVerdict,
+    write_key,
+};
+use turmeric_schema::v1;
+use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet};
 
 fn info(endpoint: &str, started_at_millis: u64) -> EndpointInfo {
     EndpointInfo {
@@ -264,3 +268,32 @@
         prop_assert_eq!(found.capacity, capacity(4));
     }
 }
+
+/// Guards against two runs of one task: a worker that has restarted and does not answer yet may
+/// carry out a start for its earlier incarnation, by a clock that began anew.
+#[test]
+fn nothing_is_started_at_a_worker_that_may_have_restarted() {
+    let mut table = synced_table();
+    let key = AttemptKey {
+        task: "0000000000000001.0.0.0".parse().unwrap(),
+        attempt: AttemptNumber::new(1),
+    };
+    let orders = v1::VmOrders {
+        stamp_millis: 1000,
+        endpoint: "i-1".to_owned(),
+        born: 1000,
+        keep: vec![write_key(&key)],
+        starts: vec![v1::StartOrder {
+            key: Some(write_key(&key)),
+            ..v1::StartOrder::default()
+        }],
+        ..v1::VmOrders::default()
+    };
+    let now = MonoTime::from_millis(1000);
+    assert!(table.apply_orders(&orders, now).unwrap());
+    table.handle_heartbeat(info("i-1", 2000), 1);
+    assert_eq!(table.take_commands(now), vec![]);
+    // The worker answers, and the heartbeat turns out to be odd.
+    assert!(!table.confirm_incarnation(table.list_mark(), 1000));
+    assert_eq!(table.take_commands(now).len(), 1);
+}
