Take only crashes soon after a start as evidence against a task

The window is 300 ms now, for the way of the orders and of the reports. Only a crash within it makes a task a suspect; the count of four stays for tasks that crash their endpoints later.

--- a/crates/turmeric-jobs/src/crashes.rs
+++ b/crates/turmeric-jobs/src/crashes.rs
@@ -12,7 +12,7 @@
 use crate::{AttemptKey, AttemptNumber};
 
 /// An attempt that was started at most this long before a crash may have caused it.
-pub const ATTRIBUTION_WINDOW: Duration = Duration::from_millis(1000);
+pub const ATTRIBUTION_WINDOW: Duration = Duration::from_millis(300);
 
 /// Attempts that were started at most this long before the last one share the blame with it:
 /// orders to one VM arrive in any order, and a crash follows its cause at some distance.
@@ -116,7 +116,7 @@
         let was_suspect = self.is_suspect;
         let count = self.attempts.len();
         let may_be_cause = matches!(evidence, CrashEvidence::Alone | CrashEvidence::Shared);
-        self.is_suspect |= may_be_cause || count >= ALONE_CRASH_LIMIT;
+        self.is_suspect |= may_be_cause;
         let is_proven =
             was_suspect && evidence == CrashEvidence::Alone && count >= ALONE_CRASH_LIMIT;
         if is_proven || (count >= CRASH_LIMIT && !is_long_running) {
