Let no first heartbeat hide those that follow it

Cause: the first heartbeat that the agent received was an odd one, 5,000 ahead of the endpoint's own numbers. All later ones counted as delayed, up to 10,000 below, so that the agent never learned that the capacity had shrunk.

Change: a single heartbeat does not make lower numbers late, and lower numbers are late by at most 100. Two that continue each other replace it.

--- a/crates/turmeric-jobs/src/attempts/heartbeats.rs
+++ b/crates/turmeric-jobs/src/attempts/heartbeats.rs
@@ -9,12 +9,9 @@
 use crate::{EndpointIncarnation, EndpointInfo};
 use turmeric_types::ResourceSet;
 
-/// Largest step between the numbers of two heartbeats, some of which may be lost.
+/// Largest step between the numbers of two heartbeats, some of which may be lost or delayed.
 const STEP_LIMIT: u64 = 100;
 
-/// A heartbeat whose number is lower by at most this was delayed.
-const DELAY_LIMIT: u64 = 10_000;
-
 /// What became of a heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeartbeatVerdict {
@@ -60,8 +57,10 @@
         service == self.service && (1..=STEP_LIMIT).contains(&step)
     }
 
+    /// Returns whether a heartbeat was delayed. A single one says nothing of those before it.
     fn has_passed(&self, service: &str, number: u64) -> bool {
-        service == self.service && number <= self.last && self.last - number <= DELAY_LIMIT
+        let is_near = number <= self.last && self.last - number <= STEP_LIMIT;
+        service == self.service && is_near && (self.is_continued || number == self.last)
     }
 }
 
--- a/crates/turmeric-jobs/tests/heartbeats.rs
+++ b/crates/turmeric-jobs/tests/heartbeats.rs
@@ -297,3 +297,18 @@
     assert!(!table.confirm_incarnation(table.list_mark(), 1000));
     assert_eq!(table.take_commands(now).len(), 1);
 }
+
+/// Guards against a capacity that is never corrected: the first heartbeat that an agent receives
+/// is an odd one, a few thousand ahead of the endpoint's own.
+#[rstest]
+#[case(50)]
+#[case(5000)]
+fn first_heartbeat_ahead_of_the_others_hides_two_at_most(#[case] ahead: u64) {
+    let mut table = AttemptTable::new();
+    table.handle_heartbeat(info("i-1", 1000), 1 + ahead);
+    let mut shrunk = info("i-1", 1000);
+    shrunk.capacity = capacity(1);
+    table.handle_heartbeat(shrunk.clone(), 2);
+    table.handle_heartbeat(shrunk, 3);
+    assert_eq!(table.endpoint_info().unwrap().capacity, capacity(1));
+}
