Review case 4: submissions that have not begun are not counted as waiting

Script: one of six side machines is lost for good while small submissions come. Cause: a job leaves the queued phase when its first task is assigned to a VM, before anything is started.

--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -58,6 +58,11 @@
         state.file.write_all(line.as_bytes()).expect("record");
     }
 
+    /// Returns whether an executor has begun a task.
+    pub fn has_begun(&self, task: &str) -> bool {
+        self.state.lock().expect("lock").running.contains_key(task)
+    }
+
     /// Returns whether a task has ended `done`.
     pub fn is_done(&self, task: &str) -> bool {
         self.state.lock().expect("lock").done.contains_key(task)
@@ -211,6 +216,15 @@
         std::fs::write(&self.pids, ids.join("\n")).expect("pids");
     }
 
+    /// Loses a side machine for good: its executor, and the agent beside it.
+    pub fn lose_machine(&mut self, number: usize) -> String {
+        self.executors[number].lose();
+        let (name, child) = &mut self.children[self.entries.len() + number];
+        child.kill().expect("kill");
+        child.wait().expect("wait");
+        name.clone()
+    }
+
     /// Waits until all entries are ready, and the agents had time to find the leader.
     pub fn wait_until_ready(&self) -> bool {
         let begun = Instant::now();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,9 +5,11 @@
 //! broken, and 2 if the case could not run.
 
 mod burst;
+mod crashes;
 mod fleet;
 mod http;
 mod platform;
+mod waiting;
 
 fn main() {
     let words: Vec<String> = std::env::args().skip(1).collect();
@@ -24,6 +26,8 @@
     let code = match case.as_str() {
         "wide" => burst::play(&plan, &burst::Wave::wide(plan.has_trouble)),
         "texts" => burst::play(&plan, &burst::Wave::long_texts(plan.has_trouble)),
+        "waiting" => waiting::play(&plan),
+        "crashes" => crashes::play(&plan),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -222,8 +223,12 @@
     resumed: String,
 }
 
-#[derive(Default)]
+/// What one life of an executor holds and knows.
 struct Held {
+    born: u64,
+    begun: Instant,
+    /// Until when the executor is down after a crash.
+    down_until: Option<Instant>,
     fence: u64,
     deadline: u64,
     running: BTreeMap<String, Run>,
@@ -233,6 +238,31 @@
     sequence: u64,
 }
 
+impl Held {
+    fn new(born: u64, down_until: Option<Instant>) -> Self {
+        Self {
+            born,
+            begun: Instant::now(),
+            down_until,
+            fence: 0,
+            deadline: 0,
+            running: BTreeMap::new(),
+            last: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            end_count: 0,
+            sequence: 0,
+        }
+    }
+
+    fn is_down(&self) -> bool {
+        self.down_until.is_some_and(|until| Instant::now() < until)
+    }
+
+    fn clock(&self) -> u64 {
+        1_000 + self.begun.elapsed().as_millis() as u64
+    }
+}
+
 /// What the executors saw, for the checks.
 pub trait Watch: Send + Sync {
     fn started(&self, task: &str, run: u64, executor: &str);
@@ -246,11 +276,11 @@
     pub cpu: u64,
     service: String,
     zone: String,
-    born: u64,
-    begun: Instant,
     held: Mutex<Held>,
     ended: Condvar,
     watch: Arc<dyn Watch>,
+    /// Its machine is lost.
+    is_lost: AtomicBool,
 }
 
 /// Longest lease (`max_hold_ms`).
@@ -274,11 +304,10 @@
             cpu,
             service: service.to_owned(),
             zone: zone.to_owned(),
-            born,
-            begun: Instant::now(),
-            held: Mutex::default(),
+            held: Mutex::new(Held::new(born, None)),
             ended: Condvar::new(),
             watch,
+            is_lost: AtomicBool::new(false),
         });
         let server = Arc::clone(&executor);
         serve(listener, Arc::new(move |request| server.handle(&request)));
@@ -299,6 +328,27 @@
         executor
     }
 
+    /// Crashes; the executor is back after `down` under the identifier that it had, and knows
+    /// nothing of before.
+    pub fn crash(&self, down: Duration) {
+        let mut held = self.held.lock().expect("lock");
+        for (task, run) in &held.running {
+            self.watch.ended(task, run.run, &self.id, "gone");
+        }
+        let born = held.born + held.begun.elapsed().as_millis() as u64 + down.as_millis() as u64;
+        *held = Held::new(born, Some(Instant::now() + down));
+    }
+
+    /// Loses the machine: all that runs is gone, and nothing answers any more.
+    pub fn lose(&self) {
+        self.is_lost.store(true, Ordering::SeqCst);
+        let mut held = self.held.lock().expect("lock");
+        let running: Vec<String> = held.running.keys().cloned().collect();
+        for task in running {
+            self.end(&mut held, &task, "gone");
+        }
+    }
+
     /// Returns the thousandths of cores in use.
     pub fn used(&self) -> u64 {
         let held = self.held.lock().expect("lock");
@@ -310,15 +360,17 @@
         self.held.lock().expect("lock").running.keys().cloned().collect()
     }
 
-    fn clock(&self) -> u64 {
-        1_000 + self.begun.elapsed().as_millis() as u64
-    }
-
     fn ping(&self, registry: SocketAddr) {
-        let sequence = {
+        if self.is_lost.load(Ordering::SeqCst) {
+            return;
+        }
+        let (sequence, clock, born) = {
             let mut held = self.held.lock().expect("lock");
+            if held.is_down() {
+                return;
+            }
             held.sequence += 1;
-            held.sequence
+            (held.sequence, held.clock(), held.born)
         };
         let capacity = object(vec![
             ("cpu", number(self.cpu)),
@@ -335,9 +387,9 @@
             ("cold_remaining_ms", number(0)),
             ("capacity", capacity),
             ("labels", Json::Arr(vec![string("a"), string("r1-1")])),
-            ("clock_ms", number(self.clock())),
+            ("clock_ms", number(clock)),
             ("sequence", number(sequence)),
-            ("born", number(self.born)),
+            ("born", number(born)),
         ]);
         let path = format!("/executors/{}", self.id);
         let text = answer(200, &body).1;
@@ -356,9 +408,8 @@
     }
 
     fn end_runs(&self) {
-        let now = self.clock();
         let mut held = self.held.lock().expect("lock");
-        let is_late = now >= held.deadline;
+        let is_late = held.clock() >= held.deadline;
         let over: Vec<String> = held
             .running
             .iter()
@@ -376,63 +427,58 @@
     fn handle(&self, request: &Request) -> Response {
         let expected = request.headers.get("x-expected-instance");
         if expected.is_some_and(|id| *id != self.id) {
-            return answer(421, &object(vec![("clock_ms", number(self.clock()))]));
+            return (421, "{}".to_owned());
         }
         let Some(body) = Json::parse(&request.body) else {
             return (400, String::new());
         };
         let mut held = self.held.lock().expect("lock");
+        if self.is_lost.load(Ordering::SeqCst) || held.is_down() {
+            return (0, String::new());
+        }
         let fence = body.get("fencing_token").num();
         if fence < held.fence {
-            return self.refuse("fence");
+            return refuse(&held, "fence");
         }
         held.fence = fence;
-        let deadline = body.get("deadline_ms").num().min(self.clock() + HOLD_LIMIT);
+        let deadline = body.get("deadline_ms").num().min(held.clock() + HOLD_LIMIT);
         held.deadline = held.deadline.max(deadline);
         match request.path.as_str() {
             "/run-start" => self.start_run(&mut held, &body),
             "/run-stop" => self.stop_run(&mut held, &body),
-            "/pace" => self.done(),
+            "/pace" => done(&held),
             "/hold" => {
                 let seen = body.get("last_seen").num();
                 held.ends = held.ends.split_off(&(seen + 1));
                 let end = Instant::now() + Duration::from_millis(body.get("wait_ms").num());
-                while held.ends.is_empty() {
+                let born = held.born;
+                while held.ends.is_empty() && held.born == born {
                     let left = end.saturating_duration_since(Instant::now());
                     if left.is_zero() {
                         break;
                     }
                     held = self.ended.wait_timeout(held, left).expect("lock").0;
                 }
-                self.lists(&held)
+                if held.born != born {
+                    return (0, String::new());
+                }
+                lists(&held)
             }
             _ => (404, String::new()),
         }
     }
 
-    fn done(&self) -> Response {
-        answer(200, &object(vec![("clock_ms", number(self.clock()))]))
-    }
-
-    fn refuse(&self, reason: &str) -> Response {
-        let fields = vec![
-            ("clock_ms", number(self.clock())),
-            ("reason", string(reason)),
-        ];
-        answer(409, &object(fields))
-    }
-
     fn start_run(&self, held: &mut Held, body: &Json) -> Response {
         let (task, run) = (body.get("task").text().to_owned(), body.get("run").num());
         if held.running.get(&task).is_some_and(|known| known.run == run) {
-            return self.done();
+            return done(held);
         }
         if held.running.contains_key(&task) || held.last.get(&task).is_some_and(|last| *last >= run)
         {
-            return self.refuse("old");
+            return refuse(held, "old");
         }
-        if held.deadline <= self.clock() {
-            return self.refuse("late");
+        if held.deadline <= held.clock() {
+            return refuse(held, "late");
         }
         // The requester's text tells the work and the processors of the task.
         let spec = body.get("task_spec").text();
@@ -442,7 +488,7 @@
         };
         let used: u64 = held.running.values().map(|run| run.cpu).sum();
         if used + cpu > self.cpu {
-            return self.refuse("room");
+            return refuse(held, "room");
         }
         let spread = task.bytes().fold(7u64, |hash, byte| {
             hash.wrapping_mul(31).wrapping_add(u64::from(byte))
@@ -459,7 +505,7 @@
                 resumed: body.get("checkpoint").text().to_owned(),
             },
         );
-        self.done()
+        done(held)
     }
 
     fn stop_run(&self, held: &mut Held, body: &Json) -> Response {
@@ -470,34 +516,47 @@
             self.end(held, &task, "stopped");
             self.ended.notify_all();
         }
-        self.done()
+        done(held)
     }
+}
 
-    fn lists(&self, held: &Held) -> Response {
-        let running = held.running.iter().map(|(task, run)| {
-            let percent = run.started.elapsed().as_millis() * 100 / run.work.as_millis().max(1);
-            Json::Arr(vec![
-                string(task),
-                number(run.run),
-                string(&run.resumed),
-                number(percent.min(99) as u64),
-                number(run.cpu),
-            ])
-        });
-        let ended = held.ends.iter().take(500).map(|(end, (task, run, how, saved))| {
-            let (end, run) = (number(*end), number(*run));
-            Json::Arr(vec![end, string(task), run, string(*how), string(saved)])
-        });
-        answer(
-            200,
-            &object(vec![
-                ("clock_ms", number(self.clock())),
-                ("born", number(self.born)),
-                ("running", Json::Arr(running.collect())),
-                ("ended", Json::Arr(ended.collect())),
-            ]),
-        )
-    }
+fn done(held: &Held) -> Response {
+    answer(200, &object(vec![("clock_ms", number(held.clock()))]))
+}
+
+fn refuse(held: &Held, reason: &str) -> Response {
+    let fields = vec![
+        ("clock_ms", number(held.clock())),
+        ("reason", string(reason)),
+    ];
+    answer(409, &object(fields))
+}
+
+fn lists(held: &Held) -> Response {
+    let running = held.running.iter().map(|(task, run)| {
+        let percent = run.started.elapsed().as_millis() * 100 / run.work.as_millis().max(1);
+        Json::Arr(vec![
+            string(task),
+            number(run.run),
+            string(&run.resumed),
+            number(percent.min(99) as u64),
+            number(run.cpu),
+        ])
+    });
+    let ends = held.ends.iter().take(500);
+    let ended = ends.map(|(end, (task, run, how, saved))| {
+        let (end, run) = (number(*end), number(*run));
+        Json::Arr(vec![end, string(task), run, string(*how), string(saved)])
+    });
+    answer(
+        200,
+        &object(vec![
+            ("clock_ms", number(held.clock())),
+            ("born", number(held.born)),
+            ("running", Json::Arr(running.collect())),
+            ("ended", Json::Arr(ended.collect())),
+        ]),
+    )
 }
 
 impl Run {
