--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -32,6 +32,8 @@
     /// Tasks that ended `done`.
     done: BTreeMap<String, u64>,
     starts: u64,
+    /// Tasks that ran on two executors at once.
+    twice: u64,
 }
 
 impl Record {
@@ -41,6 +43,7 @@
             running: BTreeMap::new(),
             done: BTreeMap::new(),
             starts: 0,
+            twice: 0,
         };
         Arc::new(Self {
             begun: Instant::now(),
@@ -68,6 +71,11 @@
         self.state.lock().expect("lock").done.contains_key(task)
     }
 
+    /// Returns how often a task was started while it ran elsewhere.
+    pub fn twice(&self) -> u64 {
+        self.state.lock().expect("lock").twice
+    }
+
     /// Returns the numbers of starts and of tasks that ended `done`.
     pub fn counts(&self) -> (u64, usize) {
         let state = self.state.lock().expect("lock");
@@ -82,7 +90,13 @@
         state.starts += 1;
         let running = state.running.entry(task.to_owned()).or_default();
         running.push(executor.to_owned());
+        let doubled = (running.len() > 1).then(|| running.join(" and "));
         state.file.write_all(line.as_bytes()).expect("record");
+        if let Some(names) = doubled {
+            state.twice += 1;
+            let line = format!("{:8.3} TWICE: {task} runs on {names}\n", self.seconds());
+            state.file.write_all(line.as_bytes()).expect("record");
+        }
     }
 
     fn ended(&self, task: &str, run: u64, executor: &str, how: &str) {
@@ -225,6 +239,13 @@
         name.clone()
     }
 
+    /// Sends a signal to the agent beside an executor.
+    pub fn signal_agent(&self, number: usize, signal: &str) -> bool {
+        let (_, child) = &self.children[self.entries.len() + number];
+        let id = child.id().to_string();
+        Command::new("kill").args([signal, &id]).status().is_ok_and(|status| status.success())
+    }
+
     /// Waits until all entries are ready, and the agents had time to find the leader.
     pub fn wait_until_ready(&self) -> bool {
         let begun = Instant::now();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod fleet;
 mod http;
+mod leaving;
 mod platform;
 mod waiting;
 
@@ -28,6 +29,7 @@
         "texts" => burst::play(&plan, &burst::Wave::long_texts(plan.has_trouble)),
         "waiting" => waiting::play(&plan),
         "crashes" => crashes::play(&plan),
+        "leaving" => leaving::play(&plan),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -221,6 +221,8 @@
     work: Duration,
     cpu: u64,
     resumed: String,
+    /// When a stop that was ordered is over.
+    stopped: Option<Instant>,
 }
 
 /// What one life of an executor holds and knows.
@@ -281,8 +283,16 @@
     watch: Arc<dyn Watch>,
     /// Its machine is lost.
     is_lost: AtomicBool,
+    /// It has said that it leaves.
+    is_draining: AtomicBool,
+    /// It sends no more pings.
+    is_silent: AtomicBool,
+    registry: SocketAddr,
 }
 
+/// Time that a stop takes; `stop_timeout_ms` allows 900.
+const STOP: Duration = Duration::from_millis(400);
+
 /// Longest lease (`max_hold_ms`).
 const HOLD_LIMIT: u64 = 6_000;
 
@@ -308,6 +318,9 @@
             ended: Condvar::new(),
             watch,
             is_lost: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
+            is_silent: AtomicBool::new(false),
+            registry,
         });
         let server = Arc::clone(&executor);
         serve(listener, Arc::new(move |request| server.handle(&request)));
@@ -321,7 +334,7 @@
         let pinger = Arc::clone(&executor);
         std::thread::spawn(move || {
             loop {
-                pinger.ping(registry);
+                pinger.ping();
                 std::thread::sleep(Duration::from_millis(1_000));
             }
         });
@@ -360,14 +373,32 @@
         self.held.lock().expect("lock").running.keys().cloned().collect()
     }
 
-    fn ping(&self, registry: SocketAddr) {
-        if self.is_lost.load(Ordering::SeqCst) {
-            return;
+    /// Announces that the executor leaves; returns whether a ping that says so was acknowledged.
+    pub fn drain(&self) -> bool {
+        self.is_draining.store(true, Ordering::SeqCst);
+        self.ping()
+    }
+
+    /// Sends `DELETE` and no more pings; returns whether it was acknowledged.
+    pub fn sign_off(&self) -> bool {
+        self.is_silent.store(true, Ordering::SeqCst);
+        let path = format!("/executors/{}", self.id);
+        let timeout = Duration::from_secs(1);
+        let answer = call(self.registry, "DELETE", &path, "registry", "", timeout);
+        answer.is_some_and(|(status, _)| status == 200)
+    }
+
+    /// Sends a ping; returns whether it was acknowledged.
+    fn ping(&self) -> bool {
+        if self.is_lost.load(Ordering::SeqCst) || self.is_silent.load(Ordering::SeqCst) {
+            return false;
         }
+        let is_draining = self.is_draining.load(Ordering::SeqCst);
+        let state = if is_draining { "draining" } else { "ready" };
         let (sequence, clock, born) = {
             let mut held = self.held.lock().expect("lock");
             if held.is_down() {
-                return;
+                return false;
             }
             held.sequence += 1;
             (held.sequence, held.clock(), held.born)
@@ -383,7 +414,7 @@
             ("zone", string(&self.zone)),
             ("version", string("v1")),
             ("slots", number(8)),
-            ("state", string("ready")),
+            ("state", string(state)),
             ("cold_remaining_ms", number(0)),
             ("capacity", capacity),
             ("labels", Json::Arr(vec![string("a"), string("r1-1")])),
@@ -394,7 +425,8 @@
         let path = format!("/executors/{}", self.id);
         let text = answer(200, &body).1;
         let timeout = Duration::from_secs(1);
-        call(registry, "PUT", &path, "registry", &text, timeout);
+        let answer = call(self.registry, "PUT", &path, "registry", &text, timeout);
+        answer.is_some_and(|(status, _)| status == 200)
     }
 
     fn end(&self, held: &mut Held, task: &str, how: &'static str) {
@@ -410,14 +442,25 @@
     fn end_runs(&self) {
         let mut held = self.held.lock().expect("lock");
         let is_late = held.clock() >= held.deadline;
-        let over: Vec<String> = held
+        let now = Instant::now();
+        let over: Vec<(String, &'static str)> = held
             .running
             .iter()
-            .filter(|(_, run)| is_late || run.started.elapsed() >= run.work)
-            .map(|(task, _)| task.clone())
+            .filter_map(|(task, run)| {
+                let how = if is_late {
+                    "lapsed"
+                } else if run.stopped.is_some_and(|end| now >= end) {
+                    "stopped"
+                } else if run.started.elapsed() >= run.work && run.stopped.is_none() {
+                    "done"
+                } else {
+                    return None;
+                };
+                Some((task.clone(), how))
+            })
             .collect();
-        for task in &over {
-            self.end(&mut held, task, if is_late { "lapsed" } else { "done" });
+        for (task, how) in &over {
+            self.end(&mut held, task, how);
         }
         if !over.is_empty() {
             self.ended.notify_all();
@@ -445,7 +488,7 @@
         held.deadline = held.deadline.max(deadline);
         match request.path.as_str() {
             "/run-start" => self.start_run(&mut held, &body),
-            "/run-stop" => self.stop_run(&mut held, &body),
+            "/run-stop" => Self::stop_run(&mut held, &body),
             "/pace" => done(&held),
             "/hold" => {
                 let seen = body.get("last_seen").num();
@@ -503,18 +546,20 @@
                 work: Duration::from_millis(least + spread % span.max(1)),
                 cpu,
                 resumed: body.get("checkpoint").text().to_owned(),
+                stopped: None,
             },
         );
         done(held)
     }
 
-    fn stop_run(&self, held: &mut Held, body: &Json) -> Response {
+    fn stop_run(held: &mut Held, body: &Json) -> Response {
         let (task, run) = (body.get("task").text().to_owned(), body.get("run").num());
         let last = held.last.entry(task.clone()).or_default();
         *last = (*last).max(run);
-        if held.running.get(&task).is_some_and(|known| known.run <= run) {
-            self.end(held, &task, "stopped");
-            self.ended.notify_all();
+        if let Some(known) = held.running.get_mut(&task)
+            && known.run <= run
+        {
+            known.stopped.get_or_insert(Instant::now() + STOP);
         }
         done(held)
     }
