--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -215,7 +215,11 @@
 /// Builds an object.
 pub fn object(fields: Vec<(&str, Json)>) -> Json {
     let fields = fields.into_iter();
-    Json::Obj(fields.map(|(name, value)| (name.to_owned(), value)).collect())
+    Json::Obj(
+        fields
+            .map(|(name, value)| (name.to_owned(), value))
+            .collect(),
+    )
 }
 
 pub fn number(value: u64) -> Json {
--- a/review/standin/leaving.rs
+++ b/review/standin/leaving.rs
@@ -43,7 +43,10 @@
         let Some(leaving) = busiest else { return 2 };
         let executor = &fleet.executors[leaving];
         let is_acked = executor.drain();
-        record.write(&format!("{} says draining, acknowledged: {is_acked}", executor.id));
+        record.write(&format!(
+            "{} says draining, acknowledged: {is_acked}",
+            executor.id
+        ));
         std::thread::sleep(DRAIN);
         if plan.has_trouble {
             record.write(&format!("the agent of {} freezes", executor.id));
@@ -53,7 +56,10 @@
             std::thread::sleep(LEAD);
         }
         let is_acked = executor.sign_off();
-        record.write(&format!("{} sends DELETE, acknowledged: {is_acked}", executor.id));
+        record.write(&format!(
+            "{} sends DELETE, acknowledged: {is_acked}",
+            executor.id
+        ));
         if plan.has_trouble {
             std::thread::sleep(FREEZE.saturating_sub(LEAD + Duration::from_secs(1)));
             if !fleet.signal_agent(leaving, "-CONT") {
