Count an order without an answer as no proof of a crash

Cause: a start that got no answer counted as an attempt that ran when its endpoint crashed. A task that was ordered at an endpoint that had just gone dark became a suspect, was started alone on another VM, and one more such order there was the proof that failed its job.

Change: crashes are counted as certain or possible. Certain are those under attempts that the worker has confirmed; agents now say so in each report, so that the news outlives an agent. A task is proven to be to blame by two certain crashes, the last one under it alone; four possible ones are the limit as before, so that a crashing task ends within the platform's bound. A suspect is started only right after its worker has answered another call. So an order at a dark worker is never sent, and silence from such a start on is as good as an answer: a task that crashes its endpoint before it answers is given up after three crashes. A rejection by fencing token no longer counts as a start that may have run. Only a proven task discharges those beside it.

The model let unanswered starts count as a cause, and its workers crashed before they answered, always. Now a crash follows before or after the answer, and only attempts that ran count.

--- a/crates/turmeric-daemon/src/hosted/decision_log.rs
+++ b/crates/turmeric-daemon/src/hosted/decision_log.rs
@@ -72,6 +72,7 @@
                 key,
                 vm,
                 evidence,
+                is_certain,
                 crashes,
                 is_fatal,
             } => {
@@ -79,7 +80,7 @@
                 count(&metrics.attempts, "crashed", outcome);
                 warn!("endpoint crashed under a task", kv: {
                     task = key.task.to_string(), run = key.attempt.get(), vm = vm,
-                    evidence = evidence_label(evidence), crashes = crashes,
+                    evidence = evidence_label(evidence), certain = is_certain, crashes = crashes,
                     given_up = is_fatal
                 });
             }
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -6,8 +6,8 @@
 
 use spdlog::{info, warn};
 use turmeric_jobs::{
-    ClockReading, EndpointIncarnation, LeaseLimits, StartAnswer, StopAnswer, WorkerCommand,
-    WorkerLists,
+    AttemptKey, ClockReading, EndpointIncarnation, LeaseLimits, StartAnswer, StopAnswer,
+    WorkerCommand, WorkerLists,
 };
 use turmeric_platform::{HoldAnswer, HoldRequest, WorkerAnswer};
 
@@ -245,10 +245,16 @@
 ) {
     let (key, name, answer) = match &command {
         WorkerCommand::Start(plan) => {
-            let answer = state
-                .worker
-                .start(&incarnation.endpoint, fence, plan, deadline)
-                .await;
+            let is_due =
+                !plan.is_suspect || is_present(&state, &incarnation, fence, plan.key).await;
+            let answer = if is_due {
+                state
+                    .worker
+                    .start(&incarnation.endpoint, fence, plan, deadline)
+                    .await
+            } else {
+                WorkerAnswer::NotSent
+            };
             (plan.key, "start", answer)
         }
         WorkerCommand::Stop(key) => {
@@ -291,6 +297,28 @@
     }
 }
 
+/// Returns whether the worker answers, right before a suspect is started there.
+async fn is_present(
+    state: &AgentState,
+    incarnation: &EndpointIncarnation,
+    fence: u64,
+    key: AttemptKey,
+) -> bool {
+    let request = HoldRequest {
+        fence,
+        recorded_end: state.core().table.recorded_end(),
+        deadline_millis: None,
+        wait: Duration::ZERO,
+    };
+    let answer = state.worker.hold(&incarnation.endpoint, &request).await;
+    let mut core = state.core();
+    // A worker that does not state its incarnation has had no other since the last poll.
+    let is_same = |born: u64| born == 0 || born == incarnation.started_at_millis;
+    core.table.incarnation() == Some(incarnation)
+        && matches!(answer, HoldAnswer::Lists { born, .. } if is_same(born))
+        && core.table.record_presence(&key)
+}
+
 /// Returns the metric label of an answer.
 fn answer_label(answer: WorkerAnswer) -> &'static str {
     match answer {
@@ -308,9 +336,8 @@
         WorkerAnswer::Done => StartAnswer::Started,
         WorkerAnswer::Rejected => StartAnswer::Rejected,
         WorkerAnswer::NotSent => StartAnswer::NotSent,
-        WorkerAnswer::Fenced | WorkerAnswer::OtherLife | WorkerAnswer::Unknown => {
-            StartAnswer::Unknown
-        }
+        WorkerAnswer::Fenced | WorkerAnswer::OtherLife => StartAnswer::Fenced,
+        WorkerAnswer::Unknown => StartAnswer::Unknown,
     }
 }
 
--- a/crates/turmeric-jobs/benches/leader.rs
+++ b/crates/turmeric-jobs/benches/leader.rs
@@ -142,6 +142,7 @@
             checkpoint: "00000bb87a21d94b".to_owned(),
             percent: 41,
             pace: 100,
+            is_confirmed: true,
         })
         .collect()
 }
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -55,6 +55,9 @@
     pub cores: CoreCount,
     /// Resources that the task reserves on the VM; none from an earlier version of the leader.
     pub reserved: ResourceSet,
+    /// The task may have crashed another endpoint. Its start is sent right after the worker has
+    /// answered another call, so that a start without an answer tells of a crash by the task.
+    pub is_suspect: bool,
 }
 
 /// Command to send to the worker.
@@ -75,6 +78,8 @@
     Rejected,
     /// The start never reached the worker.
     NotSent,
+    /// The worker did nothing: it has seen a higher fencing token, or is another endpoint.
+    Fenced,
     /// The worker did not answer; it may still carry out the start.
     Unknown,
 }
@@ -199,14 +204,10 @@
         if self.has_departed || info.is_draining || self.crash.as_ref().is_some_and(is_known) {
             return;
         }
-        let may_have_run = |attempt: &TrackedAttempt| {
-            attempt.may_have_run || attempt.state == AttemptState::Starting
-        };
         let running = self.attempts.iter();
-        let running = running.filter(|(_, attempt)| may_have_run(attempt));
-        // Attempts whose leases expired before may have ended before the crash.
-        let is_uncertain = |attempt: &TrackedAttempt| self.is_terminated || !attempt.is_confirmed;
-        let unconfirmed = running.clone().filter(|(_, attempt)| is_uncertain(attempt));
+        let running = running.filter(|(_, attempt)| attempt.may_be_running());
+        let unconfirmed = running.clone();
+        let unconfirmed = unconfirmed.filter(|(_, attempt)| !self.is_known_to_run(attempt));
         self.crash = Some(IncarnationCrash {
             incarnation: info.incarnation.clone(),
             attempts: running.map(|(key, _)| *key).collect(),
@@ -214,6 +215,12 @@
         });
     }
 
+    /// Returns whether an attempt runs unless the worker has crashed. Attempts whose leases have
+    /// expired may have ended.
+    fn is_known_to_run(&self, attempt: &TrackedAttempt) -> bool {
+        !self.is_terminated && attempt.is_known_to_run()
+    }
+
     fn reset_incarnation(&mut self) {
         self.is_synced = false;
         self.was_synced = false;
@@ -364,6 +371,20 @@
         commands
     }
 
+    /// Records that the worker has answered a call that was made to see whether it is there.
+    ///
+    /// Returns whether the start of the suspect is to be sent now; it may have been revoked.
+    pub fn record_presence(&mut self, key: &AttemptKey) -> bool {
+        self.changes += 1;
+        let attempt = self.attempts.get_mut(key);
+        let Some(attempt) = attempt.filter(|attempt| attempt.state == AttemptState::Starting)
+        else {
+            return false;
+        };
+        attempt.present_at = Some(self.changes);
+        true
+    }
+
     /// Handles the worker's answer to a start.
     pub fn handle_start_answer(&mut self, key: AttemptKey, answer: StartAnswer, now: MonoTime) {
         self.changes += 1;
@@ -374,7 +395,7 @@
         if attempt.state != AttemptState::Starting {
             return;
         }
-        attempt.is_confirmed |= answer == StartAnswer::Started;
+        attempt.status.is_confirmed |= answer == StartAnswer::Started;
         attempt.may_have_run |= matches!(answer, StartAnswer::Started | StartAnswer::Unknown);
         match answer {
             StartAnswer::Started => {
@@ -382,8 +403,11 @@
                 attempt.changed_at = changes;
             }
             StartAnswer::Rejected => attempt.state = AttemptState::StopDue,
-            StartAnswer::NotSent | StartAnswer::Unknown => {
-                attempt.unanswered_at = (answer == StartAnswer::Unknown).then_some(changes);
+            StartAnswer::NotSent | StartAnswer::Fenced | StartAnswer::Unknown => {
+                if answer != StartAnswer::Unknown {
+                    attempt.present_at = None;
+                }
+                attempt.unanswered_at = (answer != StartAnswer::NotSent).then_some(changes);
                 attempt.state = AttemptState::StartDue;
                 attempt.retry_at = now.after(RETRY_INTERVAL);
             }
@@ -446,7 +470,10 @@
             attempts: self
                 .attempts
                 .values()
-                .map(|attempt| attempt.status.clone())
+                .map(|attempt| AttemptStatus {
+                    is_confirmed: self.is_known_to_run(attempt),
+                    ..attempt.status.clone()
+                })
                 .collect(),
             ends: self.ends.values().cloned().collect(),
             refused: self.refused.iter().copied().collect(),
--- a/crates/turmeric-jobs/src/attempts/lists.rs
+++ b/crates/turmeric-jobs/src/attempts/lists.rs
@@ -36,6 +36,7 @@
         }
         for attempt in self.attempts.values_mut() {
             attempt.unanswered_at = attempt.unanswered_at.filter(|at| mark < *at);
+            attempt.present_at = attempt.present_at.filter(|at| mark < *at);
         }
         self.expects_stale_attempts = false;
         has_changes | self.drop_unlisted(mark, &listed)
@@ -53,7 +54,6 @@
             };
             attempt.was_sent = true;
             attempt.may_have_run = true;
-            attempt.is_confirmed = true;
             if matches!(
                 attempt.state,
                 AttemptState::StartDue | AttemptState::Starting
@@ -74,7 +74,7 @@
             plan: None,
             was_sent: true,
             may_have_run: true,
-            is_confirmed: true,
+            present_at: None,
             retry_at: MonoTime::default(),
             unanswered_at: None,
             changed_at: self.changes,
--- a/crates/turmeric-jobs/src/attempts/orders.rs
+++ b/crates/turmeric-jobs/src/attempts/orders.rs
@@ -88,7 +88,7 @@
             );
             if !keep.contains(key) && is_stoppable {
                 // Its answer is not waited for.
-                attempt.may_have_run |= attempt.state == AttemptState::Starting;
+                attempt.may_have_run = attempt.may_be_running();
                 attempt.state = AttemptState::StopDue;
                 attempt.retry_at = now;
             }
@@ -106,13 +106,14 @@
             checkpoint: String::new(),
             percent: 0,
             pace: FULL_PACE,
+            is_confirmed: false,
         };
         let attempt = TrackedAttempt {
             state: AttemptState::StartDue,
             plan: Some(plan),
             was_sent: false,
             may_have_run: false,
-            is_confirmed: false,
+            present_at: None,
             retry_at: now,
             unanswered_at: None,
             changed_at: 0,
@@ -137,5 +138,6 @@
             MemorySize::new(order.reserved_memory_bytes),
             AcceleratorCount::new(order.reserved_accelerators),
         ),
+        is_suspect: order.suspect,
     })
 }
--- a/crates/turmeric-jobs/src/crashes.rs
+++ b/crates/turmeric-jobs/src/crashes.rs
@@ -5,6 +5,10 @@
 //! was started last before a crash is suspected, and is started alone the next time; a second
 //! crash then tells whether it is to blame. A task that had been running for a while when its
 //! endpoint crashed is hardly to blame, and only many such crashes count.
+//!
+//! Load pattern: endpoints go dark one after the other for causes of their own. Tasks that were
+//! ordered there and never ran look like the first pattern, time and again. An order makes a
+//! task a suspect; only crashes under attempts that are known to have run prove anything.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -18,12 +22,12 @@
 /// orders to one VM arrive in any order, and a crash follows its cause at some distance.
 pub const SHARED_WINDOW: Duration = Duration::from_millis(200);
 
-/// Crashes after which a task is given up if it was started alone before the last one. The
-/// platform allows to give up a task after two.
-const ALONE_CRASH_LIMIT: usize = 2;
+/// Certain crashes after which a task is given up if it was started alone before the last one.
+/// The platform allows to give up a task after two.
+const CERTAIN_CRASH_LIMIT: usize = 2;
 
-/// Crashes after which a task is given up in any case. The platform forbids a third start
-/// after three crashes; one of the two allowed is left for a crash that the leader never
+/// Possible crashes after which a task is given up in any case. The platform forbids a third
+/// start after three crashes; one of the two allowed is left for a crash that the leader never
 /// learned of.
 const CRASH_LIMIT: usize = 4;
 
@@ -45,7 +49,7 @@
 pub enum StartTime {
     /// This long before the crash.
     Before(Duration),
-    /// At any time before the crash: the worker never confirmed the start.
+    /// At any time before the crash, or never: the worker did not confirm the start.
     Unconfirmed,
     /// Nobody knows; probably long before.
     Unknown,
@@ -92,15 +96,18 @@
 /// The crashes of endpoints under the attempts of a task.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashRecord {
-    /// Attempts during which the endpoint crashed. A set, because a crash may be reported
-    /// more than once.
+    /// Attempts during which the endpoint crashed, or may have crashed. A set, because a crash
+    /// may be reported more than once.
     pub attempts: BTreeSet<AttemptNumber>,
+    /// Those of them that were ordered and are not known to have run as the endpoint crashed.
+    pub uncertain: BTreeSet<AttemptNumber>,
     /// The task may have caused one of the crashes, so that it is started alone on a VM.
     pub is_suspect: bool,
 }
 
 impl CrashRecord {
-    /// Counts a crash during an attempt.
+    /// Counts a crash during an attempt, which is certain if the attempt is known to have run as
+    /// the endpoint crashed.
     ///
     /// The count alone fails no long-running task: such a task is on a VM all the time, so it
     /// loses its VM to other tasks again and again.
@@ -108,17 +115,24 @@
         &mut self,
         attempt: AttemptNumber,
         evidence: CrashEvidence,
+        is_certain: bool,
         is_long_running: bool,
     ) -> CrashVerdict {
         if !self.attempts.insert(attempt) {
             return CrashVerdict::Known;
         }
+        if !is_certain {
+            self.uncertain.insert(attempt);
+        }
         let was_suspect = self.is_suspect;
-        let count = self.attempts.len();
         let may_be_cause = matches!(evidence, CrashEvidence::Alone | CrashEvidence::Shared);
         self.is_suspect |= may_be_cause;
-        let is_proven =
-            was_suspect && evidence == CrashEvidence::Alone && count >= ALONE_CRASH_LIMIT;
+        let count = self.attempts.len();
+        let certain_count = count - self.uncertain.len();
+        let is_proven = was_suspect
+            && is_certain
+            && evidence == CrashEvidence::Alone
+            && certain_count >= CERTAIN_CRASH_LIMIT;
         if is_proven || (count >= CRASH_LIMIT && !is_long_running) {
             CrashVerdict::Fail
         } else {
@@ -130,6 +144,7 @@
     ///
     /// Returns whether it had been counted.
     pub fn discount(&mut self, attempt: AttemptNumber) -> bool {
+        self.uncertain.remove(&attempt);
         self.attempts.remove(&attempt)
     }
 }
--- a/crates/turmeric-jobs/src/progress.rs
+++ b/crates/turmeric-jobs/src/progress.rs
@@ -174,6 +174,11 @@
                             .into_iter()
                             .map(AttemptNumber::new)
                             .collect(),
+                        uncertain: task
+                            .uncertain_runs
+                            .into_iter()
+                            .map(AttemptNumber::new)
+                            .collect(),
                         is_suspect: task.suspect,
                     },
                     checkpoint: task.checkpoint,
@@ -292,6 +297,12 @@
             .iter()
             .map(|attempt| attempt.get())
             .collect(),
+        uncertain_runs: state
+            .crashes
+            .uncertain
+            .iter()
+            .map(|attempt| attempt.get())
+            .collect(),
         suspect: state.crashes.is_suspect,
         checkpoint: state.checkpoint.clone(),
         vm,
--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -64,6 +64,8 @@
     pub percent: u32,
     /// Pace at which it may work, in percent of its full speed.
     pub pace: u32,
+    /// It is known to run, and not only ordered.
+    pub is_confirmed: bool,
 }
 
 /// An attempt that ended on the worker.
@@ -239,6 +241,7 @@
                 checkpoint: attempt.checkpoint.clone(),
                 percent: attempt.percent,
                 pace: attempt.pace_percent,
+                is_confirmed: attempt.confirmed,
             })
         });
         let ends = message.ends.iter().map(|end| {
@@ -334,6 +337,7 @@
         checkpoint: attempt.checkpoint.clone(),
         percent: attempt.percent,
         pace_percent: attempt.pace,
+        confirmed: attempt.is_confirmed,
     }
 }
 
--- a/crates/turmeric-jobs/src/scheduler/crashes.rs
+++ b/crates/turmeric-jobs/src/scheduler/crashes.rs
@@ -55,7 +55,11 @@
         let was_there =
             |report: &IncarnationCrash| report.incarnation == attempt.location.incarnation;
         // An agent that was not there cannot tell which starts the worker had confirmed.
-        if age > ATTRIBUTION_WINDOW && attempt.percent == 0 && !self.report.is_some_and(was_there) {
+        if age > ATTRIBUTION_WINDOW
+            && !attempt.is_confirmed
+            && attempt.percent == 0
+            && !self.report.is_some_and(was_there)
+        {
             return StartTime::Unconfirmed;
         }
         StartTime::Before(age)
@@ -74,6 +78,19 @@
         }
     }
 
+    /// Returns whether an attempt is known to have run as the endpoint crashed: by its agent, or
+    /// by its last report if the agent has been replaced.
+    fn is_certain(&self, key: &AttemptKey) -> bool {
+        let lost = self.lost.iter().find(|(lost, _)| lost == key);
+        let names_incarnation = |report: &&IncarnationCrash| {
+            lost.is_none_or(|(_, attempt)| report.incarnation == attempt.location.incarnation)
+        };
+        match self.report.filter(names_incarnation) {
+            Some(report) => report.attempts.contains(key) && !report.unconfirmed.contains(key),
+            None => lost.is_some_and(|(_, attempt)| attempt.is_confirmed),
+        }
+    }
+
     /// Returns whether a long-running attempt had been at work before the crash. It would not
     /// have survived its own start otherwise.
     fn was_at_work(&self, key: &AttemptKey) -> bool {
@@ -130,8 +147,9 @@
         // Once a task is proven to be to blame, the crash says nothing of the others.
         weighed.sort_by_key(|(_, evidence)| *evidence != CrashEvidence::Alone);
         for (key, evidence) in weighed {
-            let is_proven =
-                self.record_task_crash(name, key, evidence) && evidence == CrashEvidence::Alone;
+            let is_certain = notice.is_certain(&key);
+            let is_fatal = self.record_task_crash(name, key, evidence, is_certain);
+            let is_proven = is_fatal && is_certain && evidence == CrashEvidence::Alone;
             if is_proven {
                 self.discount_crashes(&key.task);
                 break;
@@ -163,7 +181,13 @@
     }
 
     /// Counts a crash towards one task; returns whether the task is given up.
-    fn record_task_crash(&mut self, name: &str, key: AttemptKey, evidence: CrashEvidence) -> bool {
+    fn record_task_crash(
+        &mut self,
+        name: &str,
+        key: AttemptKey,
+        evidence: CrashEvidence,
+        is_certain: bool,
+    ) -> bool {
         let is_long_running = self.is_long_running(&key);
         let job = self.jobs.get_mut(&key.task.job);
         let Some(job) = job.filter(|job| !job.phase.is_terminal()) else {
@@ -172,7 +196,8 @@
         let Some(state) = job.tasks.get_mut(&key.task).filter(|state| !state.is_done) else {
             return false;
         };
-        let verdict = state.crashes.record(key.attempt, evidence, is_long_running);
+        let crashes = &mut state.crashes;
+        let verdict = crashes.record(key.attempt, evidence, is_certain, is_long_running);
         let crashes = state.crashes.attempts.len();
         if verdict == CrashVerdict::Known {
             return false;
@@ -186,6 +211,7 @@
             key,
             vm: name.to_owned(),
             evidence,
+            is_certain,
             crashes,
             is_fatal,
         });
--- a/crates/turmeric-jobs/src/scheduler/notes.rs
+++ b/crates/turmeric-jobs/src/scheduler/notes.rs
@@ -84,6 +84,8 @@
         vm: String,
         /// How likely it is that the attempt caused the crash.
         evidence: CrashEvidence,
+        /// The attempt is known to have run as the endpoint crashed.
+        is_certain: bool,
         /// Crashes that count towards the task.
         crashes: usize,
         /// The task is given up, and its job fails.
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -72,6 +72,7 @@
                 reserved_millicores: attempt.reserved.cores.as_millicores(),
                 reserved_memory_bytes: attempt.reserved.memory.as_bytes(),
                 reserved_accelerators: attempt.reserved.accelerators.get(),
+                suspect: state.crashes.is_suspect && !step.is_gang,
             });
         }
         let incarnation = vm.info.as_ref().map(|info| info.incarnation.clone());
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -50,6 +50,8 @@
     pub(crate) dropped_in: Option<u64>,
     /// When this leader placed it on the VM.
     pub(crate) placed_at: MonoTime,
+    /// The last report that listed it says that it is known to run.
+    pub(crate) is_confirmed: bool,
     /// Share of its work that is done, in percent.
     pub(crate) percent: u32,
     /// Share of its full speed at which it has run since the last report, in percent.
@@ -83,6 +85,7 @@
             sent_at: None,
             dropped_in: None,
             placed_at: MonoTime::default(),
+            is_confirmed: false,
             percent: 0,
             pace: 100,
             listed_at: None,
@@ -108,6 +111,7 @@
         now: MonoTime,
     ) -> Option<(Duration, u32)> {
         let progress = self.record_progress(status, now);
+        self.is_confirmed = status.is_confirmed;
         if status.percent != self.percent || self.progressed_at == MonoTime::default() {
             self.percent = status.percent;
             self.progressed_at = now;
--- a/crates/turmeric-jobs/tests/consolidation.rs
+++ b/crates/turmeric-jobs/tests/consolidation.rs
@@ -273,12 +273,14 @@
                 0
             },
             pace: 100,
+            is_confirmed: true,
         });
         let stopping = self.stopping.keys().map(|key| AttemptStatus {
             key: *key,
             checkpoint: String::new(),
             percent: 100,
             pace: 100,
+            is_confirmed: true,
         });
         VmReport {
             vm: self.name.clone(),
--- a/crates/turmeric-jobs/tests/crashes.rs
+++ b/crates/turmeric-jobs/tests/crashes.rs
@@ -9,7 +9,7 @@
 use turmeric_jobs::{
     AttemptEnd, AttemptKey, AttemptStatus, AttemptTable, EndKind, EndpointIncarnation,
     EndpointInfo, IncarnationCrash, JobCode, JobEvent, JobPhase, JobScheduler, JobSpec,
-    LeaderTimeouts, LeaseLimits, QueuePolicy, StartAnswer, StepSpec, TaskName, VmReport,
+    LeaderTimeouts, LeaseLimits, QueuePolicy, StartAnswer, StartPlan, StepSpec, TaskName, VmReport,
     WorkerCommand, WorkerLists, read_key,
 };
 use turmeric_schema::{Message, v1};
@@ -184,6 +184,7 @@
             checkpoint: String::new(),
             percent: 100 - (*left).min(99) as u32,
             pace: 100,
+            is_confirmed: true,
         };
         VmReport {
             vm: format!("w{number}"),
@@ -494,6 +495,18 @@
 
     /// Lets the leader place its task, and the agent send the start, which is answered so.
     fn start(&mut self, answer: StartAnswer) -> AttemptKey {
+        let StartPlan {
+            key, is_suspect, ..
+        } = self.order();
+        // The worker answers until the start of a suspect is sent.
+        assert!(!is_suspect || self.table.record_presence(&key));
+        self.table
+            .handle_start_answer(key, answer, self.fleet.now());
+        key
+    }
+
+    /// Lets the leader place its task, and the agent take the order to start it.
+    fn order(&mut self) -> StartPlan {
         // The agent learns of the leader first.
         self.exchange();
         self.advance(ROUND);
@@ -501,18 +514,29 @@
         let (now, wall) = (self.fleet.now(), self.fleet.wall());
         assert_eq!(self.fleet.leader.place(now, wall), 1);
         self.advance(ROUND);
+        self.commit();
         let now = self.fleet.now();
-        let plan = self.fleet.leader.begin_commit(now, wall).unwrap();
-        self.fleet.progress.extend(plan.progress.iter().cloned());
-        self.fleet.leader.commit_done(&plan, now);
         let orders = self.fleet.leader.orders("w0", now).unwrap();
         assert!(self.table.apply_orders(&orders, now).unwrap());
         let commands = self.table.take_commands(now);
         let [WorkerCommand::Start(start)] = commands.as_slice() else {
             panic!("{commands:?}");
         };
-        self.table.handle_start_answer(start.key, answer, now);
-        start.key
+        start.clone()
+    }
+
+    /// The worker answers a call that was made after all starts so far, and has no attempt.
+    fn answer_without_attempts(&mut self) {
+        self.table
+            .apply_lists(self.table.list_mark(), WorkerLists::default());
+    }
+
+    /// Records in the store what the leader knows.
+    fn commit(&mut self) {
+        let (now, wall) = (self.fleet.now(), self.fleet.wall());
+        let plan = self.fleet.leader.begin_commit(now, wall).unwrap();
+        self.fleet.progress.extend(plan.progress.iter().cloned());
+        self.fleet.leader.commit_done(&plan, now);
     }
 
     /// The worker does not answer until its leases have expired.
@@ -557,6 +581,17 @@
         self.report(false);
     }
 
+    /// The endpoint is back in a new incarnation, with an agent that knows nothing of the last one.
+    fn replace_endpoint_and_agent(&mut self) {
+        self.fleet.vms[0].incarnation += 1;
+        self.table = AttemptTable::new();
+        let info = self.fleet.report(0).endpoint_info.unwrap();
+        self.table.handle_heartbeat(info, 1);
+        self.table.set_synced();
+        self.answer_without_attempts();
+        self.report(false);
+    }
+
     fn crash_count(&mut self) -> usize {
         let (events, _) = self.fleet.leader.take_events();
         let is_crash = |event: &&JobEvent| matches!(event, JobEvent::Crashed { .. });
@@ -617,9 +652,7 @@
         pair.advance(100);
         if with_takeover {
             // The store has what the leader knew when the leases expired.
-            let (now, wall) = (pair.fleet.now(), pair.fleet.wall());
-            let plan = pair.fleet.leader.begin_commit(now, wall).unwrap();
-            pair.fleet.progress.extend(plan.progress.iter().cloned());
+            pair.commit();
             pair.fleet.take_over();
         }
         pair.advance(3000);
@@ -628,6 +661,93 @@
     assert!(starts >= 2);
 }
 
+/// Starts that were ordered on endpoints that had gone dark get no answer, time and again: the
+/// task that never ran is not to blame for what crashed them.
+#[test]
+fn starts_without_an_answer_fail_no_job() {
+    let mut pair = Pair::new();
+    let code = pair.fleet.submit(1, 1, 1);
+    for _ in 0..3 {
+        pair.start(StartAnswer::Unknown);
+        pair.answer_without_attempts();
+        pair.advance(300);
+        pair.report(true);
+        pair.restart();
+    }
+    assert_eq!(pair.crash_count(), 3);
+    assert_eq!(pair.fleet.phase(code), JobPhase::Running);
+}
+
+/// An agent that has been replaced cannot tell which starts its worker confirmed, nor can a
+/// leader that has just taken over.
+#[rstest]
+#[case::same_leader(false)]
+#[case::takeover(true)]
+fn crashes_without_a_witness_fail_no_job(#[case] with_takeover: bool) {
+    let mut pair = Pair::new();
+    let code = pair.fleet.submit(1, 1, 1);
+    for _ in 0..3 {
+        pair.start(StartAnswer::Unknown);
+        pair.answer_without_attempts();
+        pair.advance(300);
+        pair.report(true);
+        if with_takeover {
+            pair.fleet.take_over();
+        }
+        pair.replace_endpoint_and_agent();
+        assert_eq!(pair.crash_count(), 1);
+        pair.advance(100);
+        pair.commit();
+    }
+    assert_eq!(pair.fleet.phase(code), JobPhase::Running);
+}
+
+/// A suspect is started only at a worker that answers: no crash counts towards one whose start
+/// was held back.
+#[test]
+fn suspect_that_was_never_sent_counts_for_no_crash() {
+    let mut pair = Pair::new();
+    let code = pair.fleet.submit(1, 1, 1);
+    pair.start(StartAnswer::Started);
+    pair.advance(100);
+    pair.report(true);
+    pair.restart();
+    assert_eq!(pair.crash_count(), 1);
+    for _ in 0..6 {
+        let key = pair.order().key;
+        pair.table
+            .handle_start_answer(key, StartAnswer::NotSent, pair.fleet.now());
+        pair.advance(300);
+        pair.report(true);
+        pair.restart();
+    }
+    assert_eq!(pair.crash_count(), 0);
+    assert_eq!(pair.fleet.phase(code), JobPhase::Running);
+}
+
+/// A task crashes each endpoint before its start is answered. It is given up before it breaks
+/// the platform's rule, whether or not the workers could be seen to answer until then.
+#[rstest]
+#[case::silent_since_the_start(false)]
+#[case::heard_again_without_the_attempt(true)]
+fn task_that_crashes_before_its_start_is_answered_is_given_up(#[case] is_heard: bool) {
+    let mut pair = Pair::new();
+    let code = pair.fleet.submit(1, 1, 1);
+    let mut starts = 0;
+    while pair.fleet.phase(code) != JobPhase::Failed {
+        pair.start(StartAnswer::Unknown);
+        starts += 1;
+        assert!(starts < 3 + FORBIDDEN_STARTS, "{starts} starts");
+        if is_heard {
+            pair.answer_without_attempts();
+        }
+        pair.advance(100);
+        pair.report(true);
+        pair.restart();
+    }
+    assert!(is_heard || starts == 3, "{starts} starts");
+}
+
 /// Endpoints crash one after another for a cause of their own, each while a task that the last
 /// crash ended has just resumed there.
 #[rstest]
--- a/crates/turmeric-jobs/tests/leaving.rs
+++ b/crates/turmeric-jobs/tests/leaving.rs
@@ -86,6 +86,7 @@
         checkpoint: String::new(),
         percent: 1,
         pace: 100,
+        is_confirmed: true,
     }
 }
 
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -10,8 +10,8 @@
 use proptest::test_runner::TestCaseError;
 use turmeric_jobs::{
     AttemptKey, AttemptTable, ClockReading, CommitPlan, EndpointInfo, JobCode, JobPhase,
-    JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, QueuePolicy, StepSpec, TaskName, VmReport,
-    WorkerCommand, WorkerLease,
+    JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, QueuePolicy, StartAnswer, StepSpec,
+    TaskName, VmReport, WorkerCommand, WorkerLease,
 };
 use turmeric_schema::{Message, v1};
 use turmeric_types::{
@@ -205,7 +205,7 @@
     recorded_done: BTreeSet<TaskName>,
     /// Crashes of workers under each task.
     crashes: BTreeMap<TaskName, usize>,
-    /// Attempts of each task that may have run as a worker crashed or restarted.
+    /// Attempts of each task that ran as a worker crashed or restarted.
     crashed_attempts: BTreeMap<TaskName, BTreeSet<AttemptKey>>,
     /// Violations of invariants that `check` cannot see in the current state.
     violations: Vec<String>,
@@ -647,6 +647,9 @@
         if agent.is_earlier {
             message.unresponsive = false;
             message.crash = None;
+            for run in &mut message.runs {
+                run.confirmed = false;
+            }
         }
         VmReport::read(message).unwrap()
     }
@@ -727,7 +730,14 @@
             let worker = &mut self.workers[number];
             match call {
                 WorkerCommand::Start(plan) => {
-                    let (answer, key) = worker.start(fence, &plan, deadline, self.now, late_at);
+                    // A suspect is started only at a worker that answers.
+                    let is_due = !plan.is_suspect
+                        || (worker.answers(self.now) && agent.table.record_presence(&plan.key));
+                    let (answer, key) = if is_due {
+                        worker.start(fence, &plan, deadline, self.now, late_at)
+                    } else {
+                        (StartAnswer::NotSent, None)
+                    };
                     started.extend(key);
                     agent.table.handle_start_answer(plan.key, answer, now);
                 }
--- a/crates/turmeric-jobs/tests/world/worker.rs
+++ b/crates/turmeric-jobs/tests/world/worker.rs
@@ -85,10 +85,13 @@
     pub down_until: Option<u64>,
     /// Tasks under which it crashed, until the simulation has taken them.
     pub crashed_by: Vec<TaskName>,
-    /// Attempts of which a start was sent and not answered.
-    unanswered: BTreeSet<AttemptKey>,
-    /// Attempts that ran as it crashed or restarted, or may have run by what their senders know,
-    /// until the simulation has taken them.
+    /// The task that crashes it in the next round, after the start was answered.
+    crash_due: Option<TaskName>,
+    /// Attempts that ended since it last answered a poll. If it crashes before the next one, nobody
+    /// can tell that they did not run as it crashed.
+    ended_unheard: Vec<AttemptKey>,
+    /// Attempts that ran as it crashed or restarted, as far as anybody can tell, until the
+    /// simulation has taken them.
     pub crashed_under: Vec<AttemptKey>,
     /// Its processors, in thousandths, as its heartbeats state them.
     pub millicores: u64,
@@ -125,7 +128,8 @@
             has_left: false,
             down_until: None,
             crashed_by: Vec::new(),
-            unanswered: BTreeSet::new(),
+            crash_due: None,
+            ended_unheard: Vec::new(),
             crashed_under: Vec::new(),
             millicores: WORKER_MILLICORES,
             earlier: Vec::new(),
@@ -191,14 +195,9 @@
     }
 
     fn record_lost_attempts(&mut self) {
-        let has_ended = |key: &AttemptKey| {
-            let last = self.closed.get(&key.task);
-            last.is_some_and(|last| *last >= key.attempt)
-        };
-        let unanswered = std::mem::take(&mut self.unanswered).into_iter();
-        let unanswered = unanswered.filter(|key| !has_ended(key));
-        self.crashed_under.extend(unanswered);
+        self.crash_due = None;
         self.crashed_under.extend(self.running.keys());
+        self.crashed_under.append(&mut self.ended_unheard);
     }
 
     /// Shrinks or grows to a capacity for this many tasks, while tasks run.
@@ -253,6 +252,7 @@
             checkpoint: String::new(),
         };
         self.ends.insert(self.next_end, end);
+        self.ended_unheard.push(key);
         self.next_end += 1;
         if kind == EndKind::Done {
             self.succeeded.insert(key.task);
@@ -270,6 +270,9 @@
         if self.down_until.is_some_and(|until| now >= until) {
             self.restart(now);
         }
+        if let Some(task) = self.crash_due.take() {
+            self.crash(task, now);
+        }
         let mut started = Vec::new();
         let due: Vec<(u64, u64, Order)> = {
             let (due, rest) = self.late.drain(..).partition(|(at, _, _)| *at <= now);
@@ -367,7 +370,12 @@
                     },
                 );
                 if plan.text == CRASHING_TEXT && key.task.step == 0 && key.task.index == 0 {
-                    self.crash(key.task, now);
+                    // Some crash it before it answers, some after.
+                    if (key.task.job.bits() + key.attempt.get()).is_multiple_of(2) {
+                        self.crash(key.task, now);
+                    } else {
+                        self.crash_due = Some(key.task);
+                    }
                 }
                 Some(key)
             }
@@ -391,9 +399,6 @@
         if silence == Some(WorkerSilence::Closed) {
             return (StartAnswer::NotSent, None);
         }
-        if silence.is_some() || late_at.is_some() || self.has_left {
-            self.unanswered.insert(plan.key);
-        }
         if self.has_left || silence == Some(WorkerSilence::Deaf) {
             return (StartAnswer::Unknown, None);
         }
@@ -402,7 +407,7 @@
             return (StartAnswer::Unknown, None);
         }
         if fence < self.fence {
-            return (StartAnswer::Unknown, None);
+            return (StartAnswer::Fenced, None);
         }
         let started = self.carry_out(fence, &order, now, false);
         let answer = if self.down_until.is_some() || silence.is_some() {
@@ -474,6 +479,7 @@
         if silence.is_some() {
             return PollAnswer::Unknown;
         }
+        self.ended_unheard.clear();
         PollAnswer::Lists(WorkerLists {
             running: self
                 .running
@@ -482,6 +488,7 @@
                     key: *key,
                     checkpoint: String::new(),
                     pace: 100,
+                    is_confirmed: true,
                     percent: (running.done * 100 / TASK_WORK).min(100) as u32,
                 })
                 .collect(),
