Count crashes that are learned of after the leases have expired

Change: the leader keeps the attempts that were lost with their leases until the VM reports again. If the endpoint has another incarnation then and had not announced its end, the crash counts as possible for them; the same incarnation means that there was no crash.

Evidence: the new test counts 0 crashes without the change, 1 with it.

--- a/crates/turmeric-jobs/src/scheduler/losses.rs
+++ b/crates/turmeric-jobs/src/scheduler/losses.rs
@@ -84,10 +84,12 @@
         let was_draining = self.vms.get(name).is_some_and(|vm| vm.was_draining);
         let is_lost =
             |vm: &VmState, attempt: &VmAttempt| !vm.is_current_incarnation(&attempt.location);
+        let expired = self.take_expired(name);
         if was_draining {
             self.lose_where(name, LossCause::OtherIncarnation, is_lost);
         } else {
-            let lost = self.lose_where(name, LossCause::Crashed, is_lost);
+            let mut lost = self.lose_where(name, LossCause::Crashed, is_lost);
+            lost.extend(expired);
             self.record_reported_crash(report, &lost, at, wall);
         }
     }
@@ -138,8 +140,30 @@
         self.record_crash(&report.vm, &notice, wall);
     }
 
+    /// Loses all attempts on a VM that has not reported until their leases have expired.
     pub(super) fn lose_all(&mut self, name: &str) {
-        self.lose_where(name, LossCause::LeaseExpired, |_, _| true);
+        let mut lost = self.lose_where(name, LossCause::LeaseExpired, |_, _| true);
+        for (_, attempt) in &mut lost {
+            // It may have ended before a crash that is reported later.
+            attempt.is_confirmed = false;
+        }
+        if let Some(vm) = self.vms.get_mut(name) {
+            vm.expired.extend(lost);
+        }
+    }
+
+    /// Returns the attempts of earlier incarnations whose leases expired before the VM reported
+    /// again.
+    ///
+    /// Load pattern: a task crashes endpoints whose agents are cut off. An agent that is replaced
+    /// meanwhile takes the news of the crash with it.
+    fn take_expired(&mut self, name: &str) -> Vec<(AttemptKey, VmAttempt)> {
+        let Some(vm) = self.vms.get_mut(name) else {
+            return Vec::new();
+        };
+        let mut expired = std::mem::take(&mut vm.expired);
+        expired.retain(|(_, attempt)| !vm.is_current_incarnation(&attempt.location));
+        expired
     }
 
     /// Removes the attempts for which `is_lost` holds and returns their tasks to the queue.
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -174,6 +174,8 @@
     pub(crate) knows_leader: bool,
     /// Attempts that may be running on the VM.
     pub(crate) attempts: BTreeMap<AttemptKey, VmAttempt>,
+    /// Attempts whose leases expired since the VM last reported.
+    pub(crate) expired: Vec<(AttemptKey, VmAttempt)>,
     /// Attempts that the last report listed.
     pub(crate) listed: BTreeSet<AttemptKey>,
     /// Ends whose effect the store does not hold yet, by number, with the job and its revision
@@ -205,6 +207,7 @@
             leased_at,
             knows_leader: false,
             attempts: BTreeMap::new(),
+            expired: Vec::new(),
             listed: BTreeSet::new(),
             unrecorded_ends: BTreeMap::new(),
             last_end: 0,
--- a/crates/turmeric-jobs/tests/crashes.rs
+++ b/crates/turmeric-jobs/tests/crashes.rs
@@ -702,6 +702,25 @@
     assert_eq!(pair.fleet.phase(code), JobPhase::Running);
 }
 
+/// A worker crashes while its agent is cut off from the leader, and the agent is replaced before it
+/// can tell: the crash counts once the VM reports again, though the leases have expired before.
+#[test]
+fn crash_behind_a_cut_counts_though_its_agent_was_replaced() {
+    let mut pair = Pair::new();
+    let code = pair.fleet.submit(1, 1, 1);
+    let mut starts = 0;
+    while pair.fleet.phase(code) != JobPhase::Failed {
+        pair.start(StartAnswer::Started);
+        starts += 1;
+        assert!(starts < 3 + FORBIDDEN_STARTS, "{starts} starts");
+        pair.advance(20_000);
+        pair.fleet.leader.tick(pair.fleet.now());
+        pair.replace_endpoint_and_agent();
+        assert_eq!(pair.crash_count(), 1);
+    }
+    assert!(starts >= 2);
+}
+
 /// A suspect is started only at a worker that answers: no crash counts towards one whose start
 /// was held back.
 #[test]
