Take only the worker's word as proof that an attempt ran

Silence right after the worker had answered was taken for an answer; it proves nothing while calls may be carried out late. Now such a start is held back at a worker that does not answer, and counts as possible only if it was sent.

Once a task is proven to be to blame, the crashes of its neighbours are taken back.

--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -55,8 +55,8 @@
     pub cores: CoreCount,
     /// Resources that the task reserves on the VM; none from an earlier version of the leader.
     pub reserved: ResourceSet,
-    /// The task may have crashed another endpoint. Its start is sent right after the worker has
-    /// answered another call, so that a start without an answer tells of a crash by the task.
+    /// The task may have crashed another endpoint. Its start is sent only right after the worker
+    /// has answered another call, so that hardly any is ordered at a worker that is gone.
     pub is_suspect: bool,
 }
 
@@ -218,7 +218,7 @@
     /// Returns whether an attempt runs unless the worker has crashed. Attempts whose leases have
     /// expired may have ended.
     fn is_known_to_run(&self, attempt: &TrackedAttempt) -> bool {
-        !self.is_terminated && attempt.is_known_to_run()
+        !self.is_terminated && attempt.status.is_confirmed
     }
 
     fn reset_incarnation(&mut self) {
@@ -355,6 +355,7 @@
                     }
                     attempt.state = AttemptState::Starting;
                     attempt.was_sent = true;
+                    attempt.awaits_presence = plan.is_suspect;
                     commands.push(WorkerCommand::Start(plan.clone()));
                 }
                 (AttemptState::StopDue, _) => {
@@ -375,13 +376,12 @@
     ///
     /// Returns whether the start of the suspect is to be sent now; it may have been revoked.
     pub fn record_presence(&mut self, key: &AttemptKey) -> bool {
-        self.changes += 1;
         let attempt = self.attempts.get_mut(key);
         let Some(attempt) = attempt.filter(|attempt| attempt.state == AttemptState::Starting)
         else {
             return false;
         };
-        attempt.present_at = Some(self.changes);
+        attempt.awaits_presence = false;
         true
     }
 
@@ -404,9 +404,6 @@
             }
             StartAnswer::Rejected => attempt.state = AttemptState::StopDue,
             StartAnswer::NotSent | StartAnswer::Fenced | StartAnswer::Unknown => {
-                if answer != StartAnswer::Unknown {
-                    attempt.present_at = None;
-                }
                 attempt.unanswered_at = (answer != StartAnswer::NotSent).then_some(changes);
                 attempt.state = AttemptState::StartDue;
                 attempt.retry_at = now.after(RETRY_INTERVAL);
--- a/crates/turmeric-jobs/src/attempts/lists.rs
+++ b/crates/turmeric-jobs/src/attempts/lists.rs
@@ -36,7 +36,6 @@
         }
         for attempt in self.attempts.values_mut() {
             attempt.unanswered_at = attempt.unanswered_at.filter(|at| mark < *at);
-            attempt.present_at = attempt.present_at.filter(|at| mark < *at);
         }
         self.expects_stale_attempts = false;
         has_changes | self.drop_unlisted(mark, &listed)
@@ -74,7 +73,7 @@
             plan: None,
             was_sent: true,
             may_have_run: true,
-            present_at: None,
+            awaits_presence: false,
             retry_at: MonoTime::default(),
             unanswered_at: None,
             changed_at: self.changes,
--- a/crates/turmeric-jobs/src/attempts/tracked.rs
+++ b/crates/turmeric-jobs/src/attempts/tracked.rs
@@ -29,9 +29,8 @@
     pub(super) was_sent: bool,
     /// The worker may have carried out a start.
     pub(super) may_have_run: bool,
-    /// Change counter when the worker had just answered and the start was sent; [`None`] once the
-    /// worker is heard again without the attempt.
-    pub(super) present_at: Option<u64>,
+    /// The start of a suspect is held back until the worker answers another call.
+    pub(super) awaits_presence: bool,
     pub(super) retry_at: MonoTime,
     /// Change counter at an unanswered start. The start is repeated after a later list: the
     /// worker may have restarted meanwhile, or may have the attempt.
@@ -44,15 +43,7 @@
 impl TrackedAttempt {
     /// Returns whether a start was sent that the worker may have carried out.
     pub(super) fn may_be_running(&self) -> bool {
-        let awaits_presence =
-            self.present_at.is_none() && self.plan.as_ref().is_some_and(|plan| plan.is_suspect);
-        self.may_have_run || (self.state == AttemptState::Starting && !awaits_presence)
-    }
-
-    /// Returns whether the attempt runs unless the worker has crashed: the worker said so, or has
-    /// been silent since it was sent the start, right after it had answered.
-    pub(super) fn is_known_to_run(&self) -> bool {
-        self.status.is_confirmed || self.present_at.is_some()
+        self.may_have_run || (self.state == AttemptState::Starting && !self.awaits_presence)
     }
 }
 
--- a/crates/turmeric-jobs/src/scheduler/crashes.rs
+++ b/crates/turmeric-jobs/src/scheduler/crashes.rs
@@ -168,13 +168,16 @@
         }
     }
 
-    /// Takes back the crashes that were counted towards the neighbours of a task to blame.
+    /// Takes back the crashes that were counted towards the neighbours of a task to blame, except
+    /// towards suspects: one may crash endpoints as well.
     fn discount_crashes(&mut self, task: &TaskName) {
         for key in self.crash_history.neighbours(task) {
             let job = self.jobs.get_mut(&key.task.job);
             let job = job.filter(|job| !job.phase.is_terminal());
             let state = job.and_then(|job| job.tasks.get_mut(&key.task));
-            if state.is_some_and(|state| state.crashes.discount(key.attempt)) {
+            let crashes = state.map(|state| &mut state.crashes);
+            let crashes = crashes.filter(|crashes| !crashes.is_suspect);
+            if crashes.is_some_and(|crashes| crashes.discount(key.attempt)) {
                 self.touch(key.task.job);
             }
         }
