Wait for proof that an endpoint which deregistered has ended

Cause: after a DELETE, one unanswered poll counted as the end of the endpoint. An agent that was suspended finds its own poll timed out; the endpoint got no acknowledgement and worked on for seconds, while its tasks were started elsewhere.

Change: the end counts once the worker's address refuses connections after the announcement, or another endpoint has it. Silence and broken connections prove nothing; then the leases bound what runs. The decision moved from the shell into the agent's table, which the model plays.

--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -171,8 +171,7 @@
             MIN_POLL_INTERVAL
         }
         HoldAnswer::OtherLife => {
-            if core.table.is_leaving() {
-                core.table.set_departed(now);
+            if core.table.handle_replacement(now) {
                 state.report_due.notify_one();
             }
             if core.table.refute_endpoint() {
@@ -183,20 +182,23 @@
             }
             RETRY_INTERVAL
         }
-        HoldAnswer::Unknown { .. } => {
+        HoldAnswer::Unknown { failure, .. } => {
             if !core.is_unresponsive {
                 core.is_unresponsive = true;
                 state.report_due.notify_one();
             }
-            if core.table.is_leaving() {
-                core.table.set_departed(now);
-                state.report_due.notify_one();
-            } else if core.table.is_synced() && core.lease.has_expired(now) {
-                warn!("leases have expired at an unresponsive worker", kv: {
-                    life = incarnation.to_string(), runs = core.table.attempt_count(),
-                    pending_starts = core.table.pending_start_count()
-                });
-                core.table.set_expired(now);
+            let has_expired = core.lease.has_expired(now);
+            let (runs, pending_starts) =
+                (core.table.attempt_count(), core.table.pending_start_count());
+            if core.table.handle_poll_failure(failure, has_expired, now) {
+                let life = incarnation.to_string();
+                if has_expired {
+                    warn!("leases have expired at an unresponsive worker", kv: {
+                        life = life, runs = runs, pending_starts = pending_starts
+                    });
+                } else {
+                    info!("endpoint has left", kv: { life = life, runs = runs });
+                }
                 state.report_due.notify_one();
             }
             RETRY_INTERVAL
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -93,6 +93,16 @@
     Unknown,
 }
 
+/// How a poll of the worker failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PollFailure {
+    /// The worker's address accepts no connection.
+    Refused,
+    /// No answer arrived in time, or the connection broke. The worker may be running: an agent
+    /// that was suspended finds its own calls timed out.
+    Unanswered,
+}
+
 /// Attempts that the worker lists.
 #[derive(Clone, Debug, Default)]
 pub struct WorkerLists {
@@ -248,28 +258,45 @@
     /// Records that the endpoint has deregistered: it ends, and its attempts with it.
     ///
     /// The message does not name the incarnation and may be late, so the attempts count as
-    /// terminated only once the worker does not answer; see [`Self::is_leaving`].
+    /// terminated only once the worker accepts no connection; see [`Self::handle_poll_failure`].
     pub fn announce_departure(&mut self) {
         self.has_departed = true;
     }
 
     /// Returns whether the endpoint has deregistered and may still be there.
-    pub fn is_leaving(&self) -> bool {
+    fn is_leaving(&self) -> bool {
         self.has_departed && !self.is_terminated
     }
 
-    /// Records that the endpoint has left as it announced, which ended all of its attempts.
-    pub fn set_departed(&mut self, now: MonoTime) {
-        self.has_departed = true;
-        self.set_terminated(now);
+    /// Handles a failed poll of the worker, all of whose leases may have expired by now.
+    ///
+    /// Returns whether all attempts count as terminated now: the endpoint has left as it
+    /// announced, or the leases at a worker that this agent has fenced have expired. In the second
+    /// case the worker may be alive, and answer again in the same incarnation; only a later
+    /// incarnation tells that it has crashed.
+    pub fn handle_poll_failure(
+        &mut self,
+        failure: PollFailure,
+        has_expired: bool,
+        now: MonoTime,
+    ) -> bool {
+        let has_left = self.is_leaving() && failure == PollFailure::Refused;
+        let is_over = has_left || (self.is_synced && has_expired);
+        if is_over {
+            self.set_terminated(now);
+        }
+        is_over
     }
 
-    /// Records that the leases of all attempts at a worker that does not answer have expired.
+    /// Handles the answer that another endpoint now has the worker's address.
     ///
-    /// The worker may be alive, and answer again in the same incarnation. Only a later
-    /// incarnation tells that it has crashed.
-    pub fn set_expired(&mut self, now: MonoTime) {
-        self.set_terminated(now);
+    /// Returns whether the known endpoint has left as it announced.
+    pub fn handle_replacement(&mut self, now: MonoTime) -> bool {
+        let has_left = self.is_leaving();
+        if has_left {
+            self.set_terminated(now);
+        }
+        has_left
     }
 
     /// Revokes all orders so far: on this news the leader starts the tasks elsewhere, and the
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -23,7 +23,8 @@
 
 pub use admission::{AdmissionDecision, QueueDelay, WorkDelay, admit};
 pub use attempts::{
-    AttemptTable, HeartbeatVerdict, StartAnswer, StartPlan, StopAnswer, WorkerCommand, WorkerLists,
+    AttemptTable, HeartbeatVerdict, PollFailure, StartAnswer, StartPlan, StopAnswer, WorkerCommand,
+    WorkerLists,
 };
 pub use crashes::{
     ATTRIBUTION_WINDOW, CrashEvidence, CrashRecord, CrashVerdict, SHARED_WINDOW, StartTime,
--- a/crates/turmeric-jobs/tests/crashes.rs
+++ b/crates/turmeric-jobs/tests/crashes.rs
@@ -9,8 +9,8 @@
 use turmeric_jobs::{
     AttemptEnd, AttemptKey, AttemptStatus, AttemptTable, EndKind, EndpointIncarnation,
     EndpointInfo, IncarnationCrash, JobCode, JobEvent, JobPhase, JobScheduler, JobSpec,
-    LeaderTimeouts, LeaseLimits, QueuePolicy, StartAnswer, StartPlan, StepSpec, TaskName, VmReport,
-    WorkerCommand, WorkerLists, read_key,
+    LeaderTimeouts, LeaseLimits, PollFailure, QueuePolicy, StartAnswer, StartPlan, StepSpec,
+    TaskName, VmReport, WorkerCommand, WorkerLists, read_key,
 };
 use turmeric_schema::{Message, v1};
 use turmeric_types::{
@@ -538,7 +538,9 @@
         self.advance(100);
         self.report(true);
         self.advance(6000);
-        self.table.set_expired(self.fleet.now());
+        let now = self.fleet.now();
+        self.table
+            .handle_poll_failure(PollFailure::Unanswered, true, now);
         self.report(true);
     }
 
--- a/crates/turmeric-jobs/tests/silent_workers.rs
+++ b/crates/turmeric-jobs/tests/silent_workers.rs
@@ -7,8 +7,8 @@
 use rstest::rstest;
 use turmeric_jobs::{
     AttemptKey, AttemptNumber, AttemptTable, ClockReading, EndpointIncarnation, EndpointInfo,
-    JobCode, JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, QueuePolicy, StartAnswer,
-    StepSpec, StopAnswer, VmReport, WorkerCommand, WorkerLease, WorkerLists, read_key,
+    JobCode, JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, PollFailure, QueuePolicy,
+    StartAnswer, StepSpec, StopAnswer, VmReport, WorkerCommand, WorkerLease, WorkerLists, read_key,
 };
 use turmeric_schema::v1;
 use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
@@ -151,7 +151,8 @@
 fn start_from_before_the_leases_expired_is_not_repeated(#[case] answer: StartAnswer) {
     let mut pair = SilentPair::new().with_start(answer);
     pair.exchange(Duration::from_millis(400));
-    pair.table.set_expired(pair.now);
+    pair.table
+        .handle_poll_failure(PollFailure::Unanswered, true, pair.now);
     pair.leader
         .handle_report(pair.report(), pair.now, WallTime::default());
     pair.now = pair.now.after(Duration::from_millis(900));
@@ -168,7 +169,8 @@
     let orders = pair.leader.orders("a", pair.now).unwrap();
     assert_eq!(orders.starts.len(), 1);
     pair.now = pair.now.after(Duration::from_millis(100));
-    pair.table.set_expired(pair.now);
+    pair.table
+        .handle_poll_failure(PollFailure::Unanswered, true, pair.now);
     pair.leader.handle_report(pair.report(), pair.now, wall);
     pair.now = pair.now.after(Duration::from_millis(100));
     pair.regain();
@@ -180,7 +182,8 @@
 #[test]
 fn worker_that_answers_again_gets_new_attempts() {
     let mut pair = SilentPair::new().with_start(StartAnswer::Unknown);
-    pair.table.set_expired(pair.now);
+    pair.table
+        .handle_poll_failure(PollFailure::Unanswered, true, pair.now);
     pair.exchange(Duration::from_millis(20));
     pair.regain();
     pair.exchange(Duration::from_millis(20));
@@ -242,7 +245,8 @@
 fn report_overtaken_by_a_later_connection_takes_no_task_back() {
     let mut pair = SilentPair::new();
     let wall = WallTime::default();
-    pair.table.set_expired(pair.now);
+    pair.table
+        .handle_poll_failure(PollFailure::Unanswered, true, pair.now);
     let overtaken = pair.report();
     pair.now = pair.now.after(Duration::from_millis(100));
     pair.regain();
@@ -304,18 +308,45 @@
         ..report.endpoint_info.unwrap()
     };
     pair.table.handle_heartbeat(info, 2);
-    assert!(!pair.table.is_leaving());
     assert!(!pair.report().endpoint_info.unwrap().is_draining);
 }
 
-/// An endpoint that has deregistered and does not answer has left with all that it ran.
+/// Guards against two runs of one task: an agent that was suspended while its endpoint
+/// deregistered finds its own poll timed out, and the endpoint works on until it ends.
+#[test]
+fn endpoint_that_deregistered_may_work_on_while_it_is_silent() {
+    let mut pair = SilentPair::new().with_start(StartAnswer::Started);
+    pair.table.announce_departure();
+    assert!(
+        !pair
+            .table
+            .handle_poll_failure(PollFailure::Unanswered, false, pair.now)
+    );
+    assert!(!pair.report().is_terminated);
+    // Its leases bound what it runs.
+    assert!(
+        pair.table
+            .handle_poll_failure(PollFailure::Unanswered, true, pair.now)
+    );
+    assert!(pair.report().is_terminated);
+}
+
+/// A worker that has not announced its end may refuse connections and go on.
+#[test]
+fn worker_that_refuses_connections_unannounced_terminates_nothing() {
+    let mut pair = SilentPair::new().with_start(StartAnswer::Started);
+    let failure = PollFailure::Refused;
+    assert!(!pair.table.handle_poll_failure(failure, false, pair.now));
+    assert!(!pair.report().is_terminated);
+}
+
+/// An endpoint that has deregistered and accepts no connection has left with all that it ran.
 #[test]
 fn endpoint_that_left_as_announced_has_terminated_its_attempts() {
     let mut pair = SilentPair::new().with_start(StartAnswer::Started);
     pair.table.announce_departure();
-    assert!(pair.table.is_leaving());
-    pair.table.set_departed(pair.now);
-    assert!(!pair.table.is_leaving());
+    let failure = PollFailure::Refused;
+    assert!(pair.table.handle_poll_failure(failure, false, pair.now));
     let wall = WallTime::default();
     pair.leader.handle_report(pair.report(), pair.now, wall);
     let job = pair.leader.job(pair.key.task.job).unwrap();
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -10,8 +10,8 @@
 use proptest::test_runner::TestCaseError;
 use turmeric_jobs::{
     AttemptKey, AttemptTable, ClockReading, CommitPlan, EndpointInfo, JobCode, JobPhase,
-    JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, QueuePolicy, StartAnswer, StepSpec,
-    TaskName, VmReport, WorkerCommand, WorkerLease,
+    JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, PollFailure, QueuePolicy, StartAnswer,
+    StepSpec, TaskName, VmReport, WorkerCommand, WorkerLease,
 };
 use turmeric_schema::{Message, v1};
 use turmeric_types::{
@@ -165,13 +165,11 @@
     }
 
     /// Handles a poll that the worker has not answered.
-    fn fail_poll(&mut self, now: MonoTime) {
+    fn fail_poll(&mut self, failure: PollFailure, now: MonoTime) {
         self.poll_fails_at = None;
         self.is_unresponsive = true;
         let has_expired = self.lease.has_expired(now) || self.declares_expiry_early;
-        if self.table.is_synced() && has_expired {
-            self.table.set_expired(now);
-        }
+        self.table.handle_poll_failure(failure, has_expired, now);
     }
 }
 
@@ -467,7 +465,9 @@
         }
         self.workers[number].leave();
         let now = self.mono();
-        self.agents[number].table.set_departed(now);
+        let agent = &mut self.agents[number];
+        agent.table.announce_departure();
+        agent.fail_poll(PollFailure::Refused, now);
         if with_agent {
             // Its last report reaches every leader.
             for entry in 0..self.leaders.len() {
@@ -664,7 +664,7 @@
         agent.table = table;
         match agent.poll_fails_at {
             Some(at) if self.now < at => return,
-            Some(_) => agent.fail_poll(now),
+            Some(_) => agent.fail_poll(PollFailure::Unanswered, now),
             None => {}
         }
         if agent.table.incarnation().is_none() {
@@ -707,7 +707,7 @@
                 agent.table.apply_lists(mark, lists);
             }
             PollAnswer::Fenced => agent.table.clear_synced(),
-            PollAnswer::Closed => agent.fail_poll(now),
+            PollAnswer::Closed => agent.fail_poll(PollFailure::Refused, now),
             PollAnswer::Unknown => agent.poll_fails_at = Some(self.now + POLL_TIMEOUT),
         }
     }
