Split the progress of many large jobs over several writes

Their progress exceeds what the store accepts in one call, the leader repeats the write unchanged, another entry takes over and builds the same one; nothing is recorded or started any more.

Cause: a write took up to 60 changed jobs, bounded by their number and not by bytes. Change: it takes as many as fit 600 KiB before encoding. The jobs take turns, so that those that change all the time delay no other.

--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -70,6 +70,8 @@
     closed_zones: BTreeSet<String>,
     /// Jobs that changed since their last write began.
     dirty: BTreeSet<JobCode>,
+    /// The last job that a write took up.
+    last_written: JobCode,
     commit_sequence: u64,
     is_committing: bool,
     committed_at: MonoTime,
@@ -124,6 +126,7 @@
             queues: BTreeMap::new(),
             closed_zones: BTreeSet::new(),
             dirty: BTreeSet::new(),
+            last_written: JobCode::new(0),
             commit_sequence: 0,
             is_committing: false,
             committed_at: now,
--- a/crates/turmeric-jobs/src/scheduler/commit.rs
+++ b/crates/turmeric-jobs/src/scheduler/commit.rs
@@ -1,5 +1,6 @@
 //! Writes the scheduler's decisions to the store, many in one transaction.
 
+use std::ops::Bound;
 use std::time::Duration;
 
 use turmeric_schema::{Message, v1};
@@ -12,6 +13,10 @@
 /// leader's own row and three rows of each forgotten job.
 const JOB_LIMIT: usize = 60;
 
+/// Most bytes of encoded progress in one transaction. The platform allows 1 MB a call, in which
+/// values are base64, and the leader's row and the estimates need room beside them.
+const PROGRESS_LIMIT: usize = 600 << 10;
+
 /// Most jobs whose rows one transaction deletes.
 const FORGET_LIMIT: usize = 10;
 
@@ -62,16 +67,7 @@
         }
         self.is_committing = true;
         self.commit_sequence += 1;
-        let chosen: Vec<JobCode> = self.dirty.iter().take(JOB_LIMIT).copied().collect();
-        let mut progress = Vec::with_capacity(chosen.len());
-        let mut revisions = Vec::with_capacity(chosen.len());
-        for code in chosen {
-            self.dirty.remove(&code);
-            if let Some(job) = self.jobs.get(&code) {
-                progress.push((code, job.write().encode_to_vec()));
-                revisions.push((code, job.revision));
-            }
-        }
+        let (progress, revisions) = self.take_progress();
         let forgotten: Vec<JobCode> = self
             .jobs
             .iter()
@@ -95,6 +91,39 @@
         })
     }
 
+    /// Takes the progress of jobs that changed, with their revisions, as far as it fits into one
+    /// transaction. Jobs take turns, so that those that change all the time delay no other.
+    ///
+    /// Load pattern: a burst of large jobs changes all of them at once, and their progress exceeds
+    /// what the store accepts in one call.
+    fn take_progress(&mut self) -> (Vec<(JobCode, Vec<u8>)>, Vec<(JobCode, u64)>) {
+        let after_last = (Bound::Excluded(self.last_written), Bound::Unbounded);
+        let due = self.dirty.range(after_last);
+        let due = due.chain(self.dirty.range(..=self.last_written));
+        let (mut progress, mut revisions) = (Vec::new(), Vec::new());
+        let mut taken = Vec::new();
+        let mut bytes = 0;
+        for code in due.take(JOB_LIMIT) {
+            if let Some(job) = self.jobs.get(code) {
+                let value = job.write().encode_to_vec();
+                bytes += value.len();
+                if bytes > PROGRESS_LIMIT && !progress.is_empty() {
+                    break;
+                }
+                progress.push((*code, value));
+                revisions.push((*code, job.revision));
+            }
+            taken.push(*code);
+        }
+        for code in &taken {
+            self.dirty.remove(code);
+        }
+        if let Some(last) = taken.last() {
+            self.last_written = *last;
+        }
+        (progress, revisions)
+    }
+
     fn leader_row(&mut self, now: MonoTime, wall: WallTime) -> v1::LeaderRow {
         v1::LeaderRow {
             epoch: self.epoch,
