Split the starts of a VM over several messages

Cause: every start that is due at a VM went into one message, each with the text of its job. The codec refuses a message beyond 2 MiB, the connection closes, and the same starts are due again. Change: the starts of a message have at most 1 MiB of texts and checkpoints; the others follow in the next, and count as ordered only then.

Evidence: the new test fails without the change, by a message beyond the limit, and passes with it.

--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -15,6 +15,10 @@
 /// the attempt.
 const RESEND_INTERVAL: Duration = Duration::from_millis(900);
 
+/// Most bytes of texts and checkpoints of the starts in one message, half of what a message may
+/// have.
+const START_LIMIT: usize = 1 << 20;
+
 impl JobScheduler {
     /// Builds the orders for a VM.
     ///
@@ -34,6 +38,7 @@
         }
         let vm = self.vms.get_mut(name)?;
         let mut starts = Vec::new();
+        let mut start_bytes = 0;
         for (key, attempt) in &mut vm.attempts {
             if pending.contains(key) {
                 // It is ordered once the store has recorded it; until then it keeps its place.
@@ -50,8 +55,6 @@
             if vm.listed.contains(key) || !is_due {
                 continue;
             }
-            attempt.first_sent_at.get_or_insert(now);
-            attempt.sent_at = Some(now);
             let Some(job) = self.jobs.get(&key.task.job) else {
                 continue;
             };
@@ -61,6 +64,14 @@
             ) else {
                 continue;
             };
+            start_bytes += job.spec.text.len() + state.checkpoint.len();
+            if start_bytes > START_LIMIT && !starts.is_empty() {
+                // It follows in a later message.
+                self.pending_updates.insert(name.to_owned());
+                continue;
+            }
+            attempt.first_sent_at.get_or_insert(now);
+            attempt.sent_at = Some(now);
             starts.push(v1::StartOrder {
                 key: Some(write_key(key)),
                 text: job.spec.text.clone(),
--- a/crates/turmeric-jobs/tests/sizes.rs
+++ b/crates/turmeric-jobs/tests/sizes.rs
@@ -1,4 +1,4 @@
-//! What the leader writes stays within the limits of the store.
+//! What the leader writes and sends stays within the limits of the store and of messages.
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
@@ -6,13 +6,17 @@
 use std::time::Duration;
 
 use turmeric_jobs::{
-    JobCode, JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, QueuePolicy, StepSpec,
+    EndpointIncarnation, EndpointInfo, JobCode, JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits,
+    QueuePolicy, StepSpec, VmReport,
+};
+use turmeric_schema::{Message, v1};
+use turmeric_types::{
+    AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, SplitMixRandom, WallTime,
 };
-use turmeric_schema::v1;
-use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
 
-/// Most bytes of a call of the store.
+/// Most bytes of a call of the store, and of a message between leader and agent.
 const CALL_LIMIT: usize = 1_000_000;
+const MESSAGE_LIMIT: usize = 2 << 20;
 
 /// Most tasks of a job that is accepted.
 const TASKS: u32 = 600;
@@ -108,3 +112,55 @@
     }
     panic!("{} of {JOBS} jobs were written", written.len());
 }
+
+/// Guards against starts that are never delivered: those of one VM exceed what a message may have,
+/// as each has the text of its job.
+#[test]
+fn starts_with_long_texts_are_split_over_several_messages() {
+    let mut leader = leader();
+    let report = |at: u64| VmReport {
+        vm: "w0".to_owned(),
+        zone: "morava-a".to_owned(),
+        epoch: 1,
+        stamp_millis: at,
+        endpoint_info: Some(EndpointInfo {
+            incarnation: EndpointIncarnation {
+                endpoint: "i-0".to_owned(),
+                started_at_millis: 1,
+            },
+            service: "s".to_owned(),
+            is_draining: false,
+            capacity: resources(64_000),
+            labels: Vec::new(),
+        }),
+        is_synced: true,
+        is_terminated: false,
+        is_unresponsive: false,
+        attempts: Vec::new(),
+        ends: Vec::new(),
+        refused: Vec::new(),
+        applied_orders: 0,
+        crash: None,
+        headroom: None,
+    };
+    let mut random = SplitMixRandom::new(1);
+    let text: String = (0..4000)
+        .map(|_| char::from(b'a' + random.next_below(26) as u8))
+        .collect();
+    leader.add_job(JobCode::new(1), spec(&text), WALL);
+    let now = MonoTime::from_millis(11_000);
+    leader.handle_report(report(11_000), now, WALL);
+    assert_eq!(leader.place(now, WALL), TASKS as usize);
+    let plan = leader.begin_commit(now, WALL).unwrap();
+    leader.commit_done(&plan, now);
+    let mut started = BTreeSet::new();
+    while leader.take_pending_updates().contains("w0") {
+        let orders = leader.orders("w0", now).unwrap();
+        assert!(orders.encoded_len() < MESSAGE_LIMIT);
+        for start in orders.starts {
+            let key = start.key.unwrap();
+            assert!(started.insert(key.task), "started twice");
+        }
+    }
+    assert_eq!(started.len(), TASKS as usize);
+}
