--- a/crates/turmeric-jobs/src/scheduler/commit.rs
+++ b/crates/turmeric-jobs/src/scheduler/commit.rs
@@ -49,6 +49,13 @@
     revisions: Vec<(JobCode, u64)>,
 }
 
+/// Progress of one job, encoded for the store.
+struct ProgressRow {
+    code: JobCode,
+    revision: u64,
+    value: Vec<u8>,
+}
+
 impl JobScheduler {
     /// Returns when the next write is due.
     pub fn commit_due(&self) -> MonoTime {
@@ -67,7 +74,9 @@
         }
         self.is_committing = true;
         self.commit_sequence += 1;
-        let (progress, revisions) = self.take_progress();
+        let written = self.take_progress();
+        let revisions: Vec<(JobCode, u64)> =
+            written.iter().map(|row| (row.code, row.revision)).collect();
         let forgotten: Vec<JobCode> = self
             .jobs
             .iter()
@@ -84,34 +93,38 @@
             headroom: saves_headroom.then(|| self.headroom.write().encode_to_vec()),
             sequence: self.commit_sequence,
             leader_row: self.leader_row(now, wall).encode_to_vec(),
-            progress,
+            progress: written
+                .into_iter()
+                .map(|row| (row.code, row.value))
+                .collect(),
             forgotten,
             begun_at: now,
             revisions,
         })
     }
 
-    /// Takes the progress of jobs that changed, with their revisions, as far as it fits into one
-    /// transaction. Jobs take turns, so that those that change all the time delay no other.
+    /// Takes the progress of jobs that changed, as far as it fits into one transaction. Jobs take turns, so that those that change all the time delay no other.
     ///
     /// Load pattern: a burst of large jobs changes all of them at once, and their progress exceeds
     /// what the store accepts in one call.
-    fn take_progress(&mut self) -> (Vec<(JobCode, Vec<u8>)>, Vec<(JobCode, u64)>) {
+    fn take_progress(&mut self) -> Vec<ProgressRow> {
         let after_last = (Bound::Excluded(self.last_written), Bound::Unbounded);
         let due = self.dirty.range(after_last);
         let due = due.chain(self.dirty.range(..=self.last_written));
-        let (mut progress, mut revisions) = (Vec::new(), Vec::new());
-        let mut taken = Vec::new();
+        let (mut rows, mut taken) = (Vec::new(), Vec::new());
         let mut bytes = 0;
         for code in due.take(JOB_LIMIT) {
             if let Some(job) = self.jobs.get(code) {
                 let value = job.write().encode_to_vec();
                 bytes += value.len();
-                if bytes > PROGRESS_LIMIT && !progress.is_empty() {
+                if bytes > PROGRESS_LIMIT && !rows.is_empty() {
                     break;
                 }
-                progress.push((*code, value));
-                revisions.push((*code, job.revision));
+                rows.push(ProgressRow {
+                    code: *code,
+                    revision: job.revision,
+                    value,
+                });
             }
             taken.push(*code);
         }
@@ -121,7 +134,7 @@
         if let Some(last) = taken.last() {
             self.last_written = *last;
         }
-        (progress, revisions)
+        rows
     }
 
     fn leader_row(&mut self, now: MonoTime, wall: WallTime) -> v1::LeaderRow {
