--- a/crates/turmeric-jobs/src/scheduler/commit.rs
+++ b/crates/turmeric-jobs/src/scheduler/commit.rs
@@ -103,7 +103,8 @@
         })
     }
 
-    /// Takes the progress of jobs that changed, as far as it fits into one transaction. Jobs take turns, so that those that change all the time delay no other.
+    /// Takes the progress of jobs that changed, as far as it fits into one transaction. Jobs take
+    /// turns, so that those that change all the time delay no other.
     ///
     /// Load pattern: a burst of large jobs changes all of them at once, and their progress exceeds
     /// what the store accepts in one call.
