--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -248,7 +248,7 @@
     let (key, name, answer) = match &command {
         WorkerCommand::Start(plan) => {
             let is_due =
-                !plan.is_suspect || is_present(&state, &incarnation, fence, plan.key).await;
+                !plan.is_suspect || answers_probe(&state, &incarnation, fence, plan.key).await;
             let answer = if is_due {
                 state
                     .worker
@@ -299,8 +299,8 @@
     }
 }
 
-/// Returns whether the worker answers, right before a suspect is started there.
-async fn is_present(
+/// Returns whether the worker answers a probe, right before a suspect is started there.
+async fn answers_probe(
     state: &AgentState,
     incarnation: &EndpointIncarnation,
     fence: u64,
@@ -318,7 +318,7 @@
     let is_same = |born: u64| born == 0 || born == incarnation.started_at_millis;
     core.table.incarnation() == Some(incarnation)
         && matches!(answer, HoldAnswer::Lists { born, .. } if is_same(born))
-        && core.table.record_presence(&key)
+        && core.table.record_probe_answer(&key)
 }
 
 /// Returns the metric label of an answer.
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -382,7 +382,7 @@
                     }
                     attempt.state = AttemptState::Starting;
                     attempt.was_sent = true;
-                    attempt.awaits_presence = plan.is_suspect;
+                    attempt.awaits_probe = plan.is_suspect;
                     commands.push(WorkerCommand::Start(plan.clone()));
                 }
                 (AttemptState::StopDue, _) => {
@@ -399,16 +399,16 @@
         commands
     }
 
-    /// Records that the worker has answered a call that was made to see whether it is there.
+    /// Records that the worker has answered the probe that precedes the start of a suspect.
     ///
-    /// Returns whether the start of the suspect is to be sent now; it may have been revoked.
-    pub fn record_presence(&mut self, key: &AttemptKey) -> bool {
+    /// Returns whether the start is to be sent now; it may have been revoked.
+    pub fn record_probe_answer(&mut self, key: &AttemptKey) -> bool {
         let attempt = self.attempts.get_mut(key);
         let Some(attempt) = attempt.filter(|attempt| attempt.state == AttemptState::Starting)
         else {
             return false;
         };
-        attempt.awaits_presence = false;
+        attempt.awaits_probe = false;
         true
     }
 
--- a/crates/turmeric-jobs/src/attempts/lists.rs
+++ b/crates/turmeric-jobs/src/attempts/lists.rs
@@ -73,7 +73,7 @@
             plan: None,
             was_sent: true,
             may_have_run: true,
-            awaits_presence: false,
+            awaits_probe: false,
             retry_at: MonoTime::default(),
             unanswered_at: None,
             changed_at: self.changes,
--- a/crates/turmeric-jobs/src/attempts/orders.rs
+++ b/crates/turmeric-jobs/src/attempts/orders.rs
@@ -113,7 +113,7 @@
             plan: Some(plan),
             was_sent: false,
             may_have_run: false,
-            awaits_presence: false,
+            awaits_probe: false,
             retry_at: now,
             unanswered_at: None,
             changed_at: 0,
--- a/crates/turmeric-jobs/src/attempts/tracked.rs
+++ b/crates/turmeric-jobs/src/attempts/tracked.rs
@@ -29,8 +29,8 @@
     pub(super) was_sent: bool,
     /// The worker may have carried out a start.
     pub(super) may_have_run: bool,
-    /// The start of a suspect is held back until the worker answers another call.
-    pub(super) awaits_presence: bool,
+    /// The start of a suspect is held back until the worker answers a probe.
+    pub(super) awaits_probe: bool,
     pub(super) retry_at: MonoTime,
     /// Change counter at an unanswered start. The start is repeated after a later list: the
     /// worker may have restarted meanwhile, or may have the attempt.
@@ -43,7 +43,7 @@
 impl TrackedAttempt {
     /// Returns whether a start was sent that the worker may have carried out.
     pub(super) fn may_be_running(&self) -> bool {
-        self.may_have_run || (self.state == AttemptState::Starting && !self.awaits_presence)
+        self.may_have_run || (self.state == AttemptState::Starting && !self.awaits_probe)
     }
 }
 
--- a/crates/turmeric-jobs/src/crashes.rs
+++ b/crates/turmeric-jobs/src/crashes.rs
@@ -6,7 +6,7 @@
 //! crash then tells whether it is to blame. A task that had been running for a while when its
 //! endpoint crashed is hardly to blame, and only many such crashes count.
 //!
-//! Load pattern: endpoints go dark one after the other for causes of their own. Tasks that were
+//! Load pattern: endpoints lose power one after the other. Tasks that were
 //! ordered there and never ran look like the first pattern, time and again. An order makes a
 //! task a suspect; only crashes under attempts that are known to have run prove anything.
 
--- a/crates/turmeric-jobs/tests/crashes.rs
+++ b/crates/turmeric-jobs/tests/crashes.rs
@@ -499,7 +499,7 @@
             key, is_suspect, ..
         } = self.order();
         // The worker answers until the start of a suspect is sent.
-        assert!(!is_suspect || self.table.record_presence(&key));
+        assert!(!is_suspect || self.table.record_probe_answer(&key));
         self.table
             .handle_start_answer(key, answer, self.fleet.now());
         key
@@ -658,7 +658,7 @@
     assert!(starts >= 2);
 }
 
-/// Starts that were ordered on endpoints that had gone dark get no answer, time and again: the
+/// Starts that were ordered on endpoints that had lost power get no answer, time and again: the
 /// task that never ran is not to blame for what crashed them.
 #[test]
 fn starts_without_an_answer_fail_no_job() {
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -732,7 +732,7 @@
                 WorkerCommand::Start(plan) => {
                     // A suspect is started only at a worker that answers.
                     let is_due = !plan.is_suspect
-                        || (worker.answers(self.now) && agent.table.record_presence(&plan.key));
+                        || (worker.answers(self.now) && agent.table.record_probe_answer(&plan.key));
                     let (answer, key) = if is_due {
                         worker.start(fence, &plan, deadline, self.now, late_at)
                     } else {
