--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -154,7 +154,7 @@
 }
 
 /// Report of an agent to the leader about its VM.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct VmReport {
     /// Name of the VM.
     pub vm: String,
--- a/crates/turmeric-jobs/tests/crashes.rs
+++ b/crates/turmeric-jobs/tests/crashes.rs
@@ -2,330 +2,15 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
-use std::collections::{BTreeMap, BTreeSet};
+mod fleet;
+
 use std::time::Duration;
 
+use fleet::pair::Pair;
+use fleet::{Fleet, RESTART_ROUNDS, ROUND, ROUND_LIMIT};
 use rstest::rstest;
-use turmeric_jobs::{
-    AttemptEnd, AttemptKey, AttemptStatus, AttemptTable, EndKind, EndpointIncarnation,
-    EndpointInfo, IncarnationCrash, JobCode, JobEvent, JobPhase, JobScheduler, JobSpec,
-    LeaderTimeouts, LeaseLimits, PollFailure, QueuePolicy, StartAnswer, StartPlan, StepSpec,
-    TaskName, VmReport, WorkerCommand, WorkerLists, read_key,
-};
-use turmeric_schema::{Message, v1};
-use turmeric_types::{
-    AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, SplitMixRandom, WallTime,
-};
-
-/// Time between two reports of an agent, in milliseconds.
-const ROUND: u64 = 100;
-
-/// Time from a crash of an endpoint until its next incarnation, in rounds.
-const RESTART_ROUNDS: u64 = 30;
-
-/// Number of starts after three crashes that break the platform's rule.
-const FORBIDDEN_STARTS: usize = 3;
-
-/// Rounds after which every job of these tests has ended.
-const ROUND_LIMIT: usize = 600;
-
-/// A VM with its agent and its endpoint, of which the leader sees only the reports.
-#[derive(Debug, Default)]
-struct FakeVm {
-    incarnation: u64,
-    /// Attempts that run, with the work that is left, in rounds.
-    running: BTreeMap<AttemptKey, u64>,
-    ends: Vec<AttemptEnd>,
-    /// Round in which the endpoint comes back.
-    back_at: Option<u64>,
-    /// Its agent has not fenced the current incarnation yet.
-    is_new: bool,
-    /// What its agent knows of the last crash, until the leader knows of a later incarnation.
-    crash: Option<IncarnationCrash>,
-}
-
-/// A leader with the store's rows and some VMs.
-struct Fleet {
-    round: u64,
-    epoch: u64,
-    leader: JobScheduler,
-    specs: BTreeMap<JobCode, JobSpec>,
-    progress: BTreeMap<JobCode, Vec<u8>>,
-    vms: Vec<FakeVm>,
-    /// Jobs whose tasks of index 0 crash the endpoints that start them.
-    crashing: BTreeSet<JobCode>,
-    /// Crashes of endpoints under each task, whatever their cause.
-    losses: BTreeMap<TaskName, usize>,
-    /// Number of crashes and starts of each crashing job.
-    crashes: BTreeMap<JobCode, usize>,
-    starts_after_three: BTreeMap<JobCode, usize>,
-    /// Rounds in which no write reaches the store.
-    store_is_away: bool,
-}
-
-fn resources(cores: u64) -> ResourceSet {
-    ResourceSet::new(
-        CoreCount::from_millicores(cores * 1000),
-        MemorySize::new(cores << 30),
-        AcceleratorCount::new(0),
-    )
-}
-
-fn spec(count: u32, seconds: u64, wall: WallTime) -> JobSpec {
-    JobSpec {
-        queue: QueuePolicy {
-            service: "s".to_owned(),
-            attempt_limit: 2,
-            ..QueuePolicy::default()
-        },
-        accepted_at: wall,
-        text: String::new(),
-        steps: vec![StepSpec {
-            count,
-            need: resources(1),
-            estimate: Duration::from_secs(seconds),
-            ..StepSpec::default()
-        }],
-        repeat: None,
-    }
-}
-
-fn leader(epoch: u64, now: MonoTime) -> JobScheduler {
-    let terms = LeaderTimeouts {
-        lease: LeaseLimits::new(Duration::from_secs(5)),
-        confirmation_timeout: Duration::from_secs(5),
-        retention: Duration::from_secs(100),
-    };
-    JobScheduler::new(terms, epoch, "e".to_owned(), String::new(), now)
-}
-
-impl Fleet {
-    fn new(vms: usize) -> Self {
-        let new_vm = || FakeVm {
-            incarnation: 1,
-            ..FakeVm::default()
-        };
-        Self {
-            round: 100,
-            epoch: 1,
-            leader: leader(1, MonoTime::from_millis(100 * ROUND)),
-            specs: BTreeMap::new(),
-            progress: BTreeMap::new(),
-            vms: (0..vms).map(|_| new_vm()).collect(),
-            crashing: BTreeSet::new(),
-            losses: BTreeMap::new(),
-            crashes: BTreeMap::new(),
-            starts_after_three: BTreeMap::new(),
-            store_is_away: false,
-        }
-    }
-
-    fn now(&self) -> MonoTime {
-        MonoTime::from_millis(self.round * ROUND)
-    }
-
-    fn wall(&self) -> WallTime {
-        WallTime::from_millis(self.round * ROUND)
-    }
-
-    fn submit(&mut self, number: u64, count: u32, seconds: u64) -> JobCode {
-        let code = JobCode::new(number);
-        let spec = spec(count, seconds, self.wall());
-        self.specs.insert(code, spec.clone());
-        self.leader.add_job(code, spec, self.wall());
-        code
-    }
-
-    fn submit_crashing(&mut self, number: u64, count: u32) -> JobCode {
-        let code = self.submit(number, count, 1);
-        self.crashing.insert(code);
-        code
-    }
-
-    /// Replaces the leader by one that reads the store.
-    fn take_over(&mut self) {
-        self.epoch += 1;
-        self.leader = leader(self.epoch, self.now());
-        for (code, spec) in &self.specs {
-            self.leader.add_job(*code, spec.clone(), self.wall());
-        }
-        for (code, value) in &self.progress {
-            let progress = v1::JobProgress::decode(value.as_slice()).unwrap();
-            self.leader.restore_job(*code, progress);
-        }
-    }
-
-    /// Crashes an endpoint; it is back some seconds later with nothing running.
-    fn crash(&mut self, number: usize) {
-        let vm = &mut self.vms[number];
-        if vm.back_at.is_some() {
-            return;
-        }
-        vm.crash = Some(IncarnationCrash {
-            incarnation: EndpointIncarnation {
-                endpoint: format!("i-{number}"),
-                started_at_millis: vm.incarnation,
-            },
-            attempts: vm.running.keys().copied().collect(),
-            unconfirmed: BTreeSet::new(),
-        });
-        for key in vm.running.keys() {
-            *self.losses.entry(key.task).or_default() += 1;
-        }
-        vm.running.clear();
-        vm.ends.clear();
-        vm.back_at = Some(self.round + RESTART_ROUNDS);
-    }
-
-    fn report(&self, number: usize) -> VmReport {
-        let vm = &self.vms[number];
-        let status = |(key, left): (&AttemptKey, &u64)| AttemptStatus {
-            key: *key,
-            checkpoint: String::new(),
-            percent: 100 - (*left).min(99) as u32,
-            pace: 100,
-            is_confirmed: true,
-        };
-        VmReport {
-            vm: format!("w{number}"),
-            zone: "morava-a".to_owned(),
-            epoch: self.epoch,
-            stamp_millis: self.round * ROUND,
-            endpoint_info: Some(EndpointInfo {
-                incarnation: EndpointIncarnation {
-                    endpoint: format!("i-{number}"),
-                    started_at_millis: vm.incarnation,
-                },
-                service: "s".to_owned(),
-                is_draining: false,
-                capacity: resources(8),
-                labels: Vec::new(),
-            }),
-            is_synced: !vm.is_new,
-            is_terminated: false,
-            is_unresponsive: vm.back_at.is_some(),
-            attempts: vm.running.iter().map(status).collect(),
-            ends: vm.ends.clone(),
-            refused: Vec::new(),
-            applied_orders: 0,
-            crash: vm.crash.clone().filter(|_| vm.back_at.is_none()),
-            headroom: None,
-        }
-    }
-
-    fn advance_vm(&mut self, number: usize) {
-        let round = self.round;
-        let vm = &mut self.vms[number];
-        vm.is_new = false;
-        if vm.back_at.is_some_and(|back_at| round >= back_at) {
-            vm.back_at = None;
-            vm.incarnation += 1;
-            vm.is_new = true;
-        }
-        let mut done = Vec::new();
-        for (key, left) in &mut vm.running {
-            *left = left.saturating_sub(1);
-            if *left == 0 {
-                done.push(*key);
-            }
-        }
-        for key in done {
-            vm.running.remove(&key);
-            vm.ends.push(AttemptEnd {
-                number: vm.ends.len() as u64 + 1,
-                key,
-                kind: EndKind::Done,
-                checkpoint: String::new(),
-            });
-        }
-    }
-
-    fn apply_orders(&mut self, number: usize, orders: &v1::VmOrders) {
-        let mut has_crashed = false;
-        let vm = &mut self.vms[number];
-        if vm.back_at.is_none() && orders.born == vm.incarnation {
-            vm.crash = None;
-        }
-        for start in &orders.starts {
-            let key = read_key(start.key.as_ref()).unwrap();
-            let (job, index) = (key.task.job, key.task.index);
-            let vm = &mut self.vms[number];
-            if vm.back_at.is_some() || vm.is_new || orders.born != vm.incarnation {
-                continue;
-            }
-            let seconds = self.specs[&job].steps[0].estimate.as_secs();
-            vm.running.insert(key, seconds * 1000 / ROUND);
-            if index == 0 && self.crashing.contains(&job) {
-                let crashes = self.crashes.entry(job).or_default();
-                if *crashes >= 3 {
-                    *self.starts_after_three.entry(job).or_default() += 1;
-                }
-                *crashes += 1;
-                has_crashed = true;
-            }
-        }
-        if has_crashed {
-            self.crash(number);
-        }
-    }
-
-    fn play_round(&mut self) {
-        self.round += 1;
-        let (now, wall) = (self.now(), self.wall());
-        for number in 0..self.vms.len() {
-            self.advance_vm(number);
-            let report = self.report(number);
-            self.leader.handle_report(report, now, wall);
-        }
-        self.leader.tick(now);
-        self.leader.place(now, wall);
-        if !self.store_is_away
-            && let Some(plan) = self.leader.begin_commit(now, wall)
-        {
-            self.progress.extend(plan.progress.iter().cloned());
-            self.leader.commit_done(&plan, now);
-        }
-        for number in 0..self.vms.len() {
-            if let Some(orders) = self.leader.orders(&format!("w{number}"), now) {
-                self.apply_orders(number, &orders);
-            }
-        }
-    }
-
-    fn play(&mut self, rounds: usize) {
-        for _ in 0..rounds {
-            self.play_round();
-        }
-    }
-
-    /// Plays with crashes of each VM at random moments until every job has ended.
-    fn play_with_crashes(&mut self, random: &mut SplitMixRandom, rounds_between: usize) {
-        for _ in 0..ROUND_LIMIT {
-            for number in 0..self.vms.len() {
-                if random.next_below(rounds_between) == 0 {
-                    self.crash(number);
-                }
-            }
-            self.play_round();
-            let is_over = |code: &JobCode| self.phase(*code).is_terminal();
-            if self.specs.keys().all(is_over) {
-                break;
-            }
-        }
-    }
-
-    /// Checks that a job has failed before its task broke the platform's rule.
-    fn check_failed(&self, code: JobCode) {
-        let starts = self.starts_after_three.get(&code).copied();
-        let starts = starts.unwrap_or_default();
-        assert!(starts < FORBIDDEN_STARTS, "{code}: {starts} starts");
-        assert_eq!(self.phase(code), JobPhase::Failed, "{code}");
-    }
-
-    fn phase(&self, code: JobCode) -> JobPhase {
-        self.leader.job(code).unwrap().phase
-    }
-}
+use turmeric_jobs::{AttemptTable, JobCode, JobPhase, StartAnswer, WorkerCommand, WorkerLists};
+use turmeric_types::{MonoTime, SplitMixRandom};
 
 #[test]
 fn task_that_crashes_each_endpoint_is_fatal() {
@@ -455,147 +140,6 @@
     assert_eq!(table.take_commands(now).len(), 1);
 }
 
-/// A leader with one VM and the attempt table of its agent.
-struct Pair {
-    fleet: Fleet,
-    table: AttemptTable,
-}
-
-impl Pair {
-    fn new() -> Self {
-        let fleet = Fleet::new(1);
-        let mut table = AttemptTable::new();
-        table.handle_heartbeat(fleet.report(0).endpoint_info.unwrap(), 1);
-        table.set_synced();
-        Self { fleet, table }
-    }
-
-    fn advance(&mut self, millis: u64) {
-        self.fleet.round += millis / ROUND;
-    }
-
-    /// Sends the agent's report to the leader.
-    fn report(&mut self, is_unresponsive: bool) {
-        let (now, wall) = (self.fleet.now(), self.fleet.wall());
-        let report = VmReport {
-            is_unresponsive,
-            ..self.table.report("w0", "morava-a", now)
-        };
-        let report = VmReport::read(report.write()).unwrap();
-        self.fleet.leader.handle_report(report, now, wall);
-    }
-
-    /// Sends the agent's report, and the leader's orders back.
-    fn exchange(&mut self) {
-        self.report(false);
-        let now = self.fleet.now();
-        let orders = self.fleet.leader.orders("w0", now).unwrap();
-        assert!(self.table.apply_orders(&orders, now).unwrap());
-    }
-
-    /// Lets the leader place its task, and the agent send the start, which is answered so.
-    fn start(&mut self, answer: StartAnswer) -> AttemptKey {
-        let StartPlan {
-            key, is_suspect, ..
-        } = self.order();
-        // The worker answers until the start of a suspect is sent.
-        assert!(!is_suspect || self.table.record_probe_answer(&key));
-        self.table
-            .handle_start_answer(key, answer, self.fleet.now());
-        key
-    }
-
-    /// Lets the leader place its task, and the agent take the order to start it.
-    fn order(&mut self) -> StartPlan {
-        // The agent learns of the leader first.
-        self.exchange();
-        self.advance(ROUND);
-        self.report(false);
-        let (now, wall) = (self.fleet.now(), self.fleet.wall());
-        assert_eq!(self.fleet.leader.place(now, wall), 1);
-        self.advance(ROUND);
-        self.commit();
-        let now = self.fleet.now();
-        let orders = self.fleet.leader.orders("w0", now).unwrap();
-        assert!(self.table.apply_orders(&orders, now).unwrap());
-        let commands = self.table.take_commands(now);
-        let [WorkerCommand::Start(start)] = commands.as_slice() else {
-            panic!("{commands:?}");
-        };
-        start.clone()
-    }
-
-    /// Records in the store what the leader knows.
-    fn commit(&mut self) {
-        let (now, wall) = (self.fleet.now(), self.fleet.wall());
-        let plan = self.fleet.leader.begin_commit(now, wall).unwrap();
-        self.fleet.progress.extend(plan.progress.iter().cloned());
-        self.fleet.leader.commit_done(&plan, now);
-    }
-
-    /// The worker does not answer until its leases have expired.
-    fn expire(&mut self) {
-        self.advance(100);
-        self.report(true);
-        self.advance(6000);
-        let now = self.fleet.now();
-        self.table
-            .handle_poll_failure(PollFailure::Unanswered, true, now);
-        self.report(true);
-    }
-
-    /// The worker answers again, under the same incarnation.
-    fn answer_again(&mut self, key: AttemptKey, number: u64) {
-        self.advance(100);
-        self.table.set_synced();
-        let end = AttemptEnd {
-            number,
-            key,
-            kind: EndKind::Lapsed,
-            checkpoint: String::new(),
-        };
-        let lists = WorkerLists {
-            running: Vec::new(),
-            ends: vec![end],
-        };
-        self.table.apply_lists(self.table.list_mark(), lists);
-        self.report(false);
-    }
-
-    /// The endpoint is back in a new incarnation, without having announced that it leaves.
-    fn restart(&mut self) {
-        self.fleet.vms[0].incarnation += 1;
-        let info = self.fleet.report(0).endpoint_info.unwrap();
-        let born = info.incarnation.started_at_millis;
-        self.table.handle_heartbeat(info, 1);
-        let mark = self.table.list_mark();
-        assert!(self.table.confirm_incarnation(mark, born));
-        self.report(false);
-        self.table.set_synced();
-        self.table
-            .apply_lists(self.table.list_mark(), WorkerLists::default());
-        self.report(false);
-    }
-
-    /// The endpoint is back in a new incarnation, with an agent that knows nothing of the last one.
-    fn replace_endpoint_and_agent(&mut self) {
-        self.fleet.vms[0].incarnation += 1;
-        self.table = AttemptTable::new();
-        let info = self.fleet.report(0).endpoint_info.unwrap();
-        self.table.handle_heartbeat(info, 1);
-        self.table.set_synced();
-        self.table
-            .apply_lists(self.table.list_mark(), WorkerLists::default());
-        self.report(false);
-    }
-
-    fn crash_count(&mut self) -> usize {
-        let (events, _) = self.fleet.leader.take_events();
-        let is_crash = |event: &&JobEvent| matches!(event, JobEvent::Crashed { .. });
-        events.iter().filter(is_crash).count()
-    }
-}
-
 /// A worker that answers nothing until its leases have expired, and then goes on, has not
 /// crashed, though its attempts have lapsed.
 #[test]
@@ -618,9 +162,7 @@
     let code = pair.fleet.submit(1, 1, 1);
     // The first crash makes the task a suspect.
     pair.start(StartAnswer::Started);
-    pair.advance(100);
-    pair.report(true);
-    pair.restart();
+    pair.crash(100);
     assert_eq!(pair.crash_count(), 1);
     for number in 1..4 {
         let key = pair.start(StartAnswer::Started);
@@ -640,11 +182,7 @@
 fn crash_that_is_learned_of_late_counts(#[case] with_takeover: bool) {
     let mut pair = Pair::new();
     let code = pair.fleet.submit(1, 1, 1);
-    let mut starts = 0;
-    while pair.fleet.phase(code) != JobPhase::Failed {
-        pair.start(StartAnswer::Started);
-        starts += 1;
-        assert!(starts < 3 + FORBIDDEN_STARTS, "{starts} starts");
+    let starts = pair.count_starts(code, StartAnswer::Started, |pair| {
         pair.expire();
         pair.advance(100);
         if with_takeover {
@@ -654,7 +192,7 @@
         }
         pair.advance(3000);
         pair.restart();
-    }
+    });
     assert!(starts >= 2);
 }
 
@@ -666,9 +204,7 @@
     let code = pair.fleet.submit(1, 1, 1);
     for _ in 0..3 {
         pair.start(StartAnswer::Unknown);
-        pair.advance(300);
-        pair.report(true);
-        pair.restart();
+        pair.crash(300);
     }
     assert_eq!(pair.crash_count(), 3);
     assert_eq!(pair.fleet.phase(code), JobPhase::Running);
@@ -703,16 +239,12 @@
 fn crash_behind_a_cut_counts_though_its_agent_was_replaced() {
     let mut pair = Pair::new();
     let code = pair.fleet.submit(1, 1, 1);
-    let mut starts = 0;
-    while pair.fleet.phase(code) != JobPhase::Failed {
-        pair.start(StartAnswer::Started);
-        starts += 1;
-        assert!(starts < 3 + FORBIDDEN_STARTS, "{starts} starts");
+    let starts = pair.count_starts(code, StartAnswer::Started, |pair| {
         pair.advance(20_000);
         pair.fleet.leader.tick(pair.fleet.now());
         pair.replace_endpoint_and_agent();
         assert_eq!(pair.crash_count(), 1);
-    }
+    });
     assert!(starts >= 2);
 }
 
@@ -723,17 +255,13 @@
     let mut pair = Pair::new();
     let code = pair.fleet.submit(1, 1, 1);
     pair.start(StartAnswer::Started);
-    pair.advance(100);
-    pair.report(true);
-    pair.restart();
+    pair.crash(100);
     assert_eq!(pair.crash_count(), 1);
     for _ in 0..6 {
         let key = pair.order().key;
         pair.table
             .handle_start_answer(key, StartAnswer::NotSent, pair.fleet.now());
-        pair.advance(300);
-        pair.report(true);
-        pair.restart();
+        pair.crash(300);
     }
     assert_eq!(pair.crash_count(), 0);
     assert_eq!(pair.fleet.phase(code), JobPhase::Running);
@@ -745,15 +273,7 @@
 fn task_that_crashes_before_its_start_is_answered_is_given_up() {
     let mut pair = Pair::new();
     let code = pair.fleet.submit(1, 1, 1);
-    let mut starts = 0;
-    while pair.fleet.phase(code) != JobPhase::Failed {
-        pair.start(StartAnswer::Unknown);
-        starts += 1;
-        assert!(starts < 3 + FORBIDDEN_STARTS, "{starts} starts");
-        pair.advance(100);
-        pair.report(true);
-        pair.restart();
-    }
+    pair.count_starts(code, StartAnswer::Unknown, |pair| pair.crash(100));
 }
 
 /// Endpoints crash one after another for a cause of their own, each while a task that the last
--- /dev/null
+++ b/crates/turmeric-jobs/tests/fleet/mod.rs
@@ -0,0 +1,326 @@
+//! A leader with the store's rows and VMs whose endpoints crash, by rounds of reports.
+
+pub mod pair;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use turmeric_jobs::{
+    AttemptEnd, AttemptKey, AttemptStatus, EndKind, EndpointIncarnation, EndpointInfo,
+    IncarnationCrash, JobCode, JobPhase, JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits,
+    QueuePolicy, StepSpec, TaskName, VmReport, read_key,
+};
+use turmeric_schema::{Message, v1};
+use turmeric_types::{
+    AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, SplitMixRandom, WallTime,
+};
+
+/// Time between two reports of an agent, in milliseconds.
+pub const ROUND: u64 = 100;
+
+/// Time from a crash of an endpoint until its next incarnation, in rounds.
+pub const RESTART_ROUNDS: u64 = 30;
+
+/// Number of starts after three crashes that break the platform's rule.
+pub const FORBIDDEN_STARTS: usize = 3;
+
+/// Rounds after which every job of these tests has ended.
+pub const ROUND_LIMIT: usize = 600;
+
+/// A VM with its agent and its endpoint, of which the leader sees only the reports.
+#[derive(Debug, Default)]
+pub struct FakeVm {
+    pub incarnation: u64,
+    /// Attempts that run, with the work that is left, in rounds.
+    pub running: BTreeMap<AttemptKey, u64>,
+    pub ends: Vec<AttemptEnd>,
+    /// Round in which the endpoint comes back.
+    pub back_at: Option<u64>,
+    /// Its agent has not fenced the current incarnation yet.
+    pub is_new: bool,
+    /// What its agent knows of the last crash, until the leader knows of a later incarnation.
+    pub crash: Option<IncarnationCrash>,
+}
+
+/// A leader with the store's rows and some VMs.
+pub struct Fleet {
+    pub round: u64,
+    pub epoch: u64,
+    pub leader: JobScheduler,
+    pub specs: BTreeMap<JobCode, JobSpec>,
+    pub progress: BTreeMap<JobCode, Vec<u8>>,
+    pub vms: Vec<FakeVm>,
+    /// Jobs whose tasks of index 0 crash the endpoints that start them.
+    pub crashing: BTreeSet<JobCode>,
+    /// Crashes of endpoints under each task, whatever their cause.
+    pub losses: BTreeMap<TaskName, usize>,
+    /// Number of crashes and starts of each crashing job.
+    pub crashes: BTreeMap<JobCode, usize>,
+    pub starts_after_three: BTreeMap<JobCode, usize>,
+    /// Rounds in which no write reaches the store.
+    pub store_is_away: bool,
+}
+
+fn resources(cores: u64) -> ResourceSet {
+    ResourceSet::new(
+        CoreCount::from_millicores(cores * 1000),
+        MemorySize::new(cores << 30),
+        AcceleratorCount::new(0),
+    )
+}
+
+fn spec(count: u32, seconds: u64, wall: WallTime) -> JobSpec {
+    JobSpec {
+        queue: QueuePolicy {
+            service: "s".to_owned(),
+            attempt_limit: 2,
+            ..QueuePolicy::default()
+        },
+        accepted_at: wall,
+        text: String::new(),
+        steps: vec![StepSpec {
+            count,
+            need: resources(1),
+            estimate: Duration::from_secs(seconds),
+            ..StepSpec::default()
+        }],
+        repeat: None,
+    }
+}
+
+fn leader(epoch: u64, now: MonoTime) -> JobScheduler {
+    let terms = LeaderTimeouts {
+        lease: LeaseLimits::new(Duration::from_secs(5)),
+        confirmation_timeout: Duration::from_secs(5),
+        retention: Duration::from_secs(100),
+    };
+    JobScheduler::new(terms, epoch, "e".to_owned(), String::new(), now)
+}
+
+impl Fleet {
+    pub fn new(vms: usize) -> Self {
+        let new_vm = || FakeVm {
+            incarnation: 1,
+            ..FakeVm::default()
+        };
+        Self {
+            round: 100,
+            epoch: 1,
+            leader: leader(1, MonoTime::from_millis(100 * ROUND)),
+            specs: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            vms: (0..vms).map(|_| new_vm()).collect(),
+            crashing: BTreeSet::new(),
+            losses: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+            starts_after_three: BTreeMap::new(),
+            store_is_away: false,
+        }
+    }
+
+    pub fn now(&self) -> MonoTime {
+        MonoTime::from_millis(self.round * ROUND)
+    }
+
+    pub fn wall(&self) -> WallTime {
+        WallTime::from_millis(self.round * ROUND)
+    }
+
+    pub fn submit(&mut self, number: u64, count: u32, seconds: u64) -> JobCode {
+        let code = JobCode::new(number);
+        let spec = spec(count, seconds, self.wall());
+        self.specs.insert(code, spec.clone());
+        self.leader.add_job(code, spec, self.wall());
+        code
+    }
+
+    pub fn submit_crashing(&mut self, number: u64, count: u32) -> JobCode {
+        let code = self.submit(number, count, 1);
+        self.crashing.insert(code);
+        code
+    }
+
+    /// Replaces the leader by one that reads the store.
+    pub fn take_over(&mut self) {
+        self.epoch += 1;
+        self.leader = leader(self.epoch, self.now());
+        for (code, spec) in &self.specs {
+            self.leader.add_job(*code, spec.clone(), self.wall());
+        }
+        for (code, value) in &self.progress {
+            let progress = v1::JobProgress::decode(value.as_slice()).unwrap();
+            self.leader.restore_job(*code, progress);
+        }
+    }
+
+    /// Crashes an endpoint; it is back some seconds later with nothing running.
+    pub fn crash(&mut self, number: usize) {
+        let vm = &mut self.vms[number];
+        if vm.back_at.is_some() {
+            return;
+        }
+        vm.crash = Some(IncarnationCrash {
+            incarnation: EndpointIncarnation {
+                endpoint: format!("i-{number}"),
+                started_at_millis: vm.incarnation,
+            },
+            attempts: vm.running.keys().copied().collect(),
+            unconfirmed: BTreeSet::new(),
+        });
+        for key in vm.running.keys() {
+            *self.losses.entry(key.task).or_default() += 1;
+        }
+        vm.running.clear();
+        vm.ends.clear();
+        vm.back_at = Some(self.round + RESTART_ROUNDS);
+    }
+
+    pub fn report(&self, number: usize) -> VmReport {
+        let vm = &self.vms[number];
+        let status = |(key, left): (&AttemptKey, &u64)| AttemptStatus {
+            key: *key,
+            checkpoint: String::new(),
+            percent: 100 - (*left).min(99) as u32,
+            pace: 100,
+            is_confirmed: true,
+        };
+        VmReport {
+            vm: format!("w{number}"),
+            zone: "morava-a".to_owned(),
+            epoch: self.epoch,
+            stamp_millis: self.round * ROUND,
+            endpoint_info: Some(EndpointInfo {
+                incarnation: EndpointIncarnation {
+                    endpoint: format!("i-{number}"),
+                    started_at_millis: vm.incarnation,
+                },
+                service: "s".to_owned(),
+                is_draining: false,
+                capacity: resources(8),
+                labels: Vec::new(),
+            }),
+            is_synced: !vm.is_new,
+            is_terminated: false,
+            is_unresponsive: vm.back_at.is_some(),
+            attempts: vm.running.iter().map(status).collect(),
+            ends: vm.ends.clone(),
+            refused: Vec::new(),
+            applied_orders: 0,
+            crash: vm.crash.clone().filter(|_| vm.back_at.is_none()),
+            headroom: None,
+        }
+    }
+
+    pub fn advance_vm(&mut self, number: usize) {
+        let round = self.round;
+        let vm = &mut self.vms[number];
+        vm.is_new = false;
+        if vm.back_at.is_some_and(|back_at| round >= back_at) {
+            vm.back_at = None;
+            vm.incarnation += 1;
+            vm.is_new = true;
+        }
+        let mut done = Vec::new();
+        for (key, left) in &mut vm.running {
+            *left = left.saturating_sub(1);
+            if *left == 0 {
+                done.push(*key);
+            }
+        }
+        for key in done {
+            vm.running.remove(&key);
+            vm.ends.push(AttemptEnd {
+                number: vm.ends.len() as u64 + 1,
+                key,
+                kind: EndKind::Done,
+                checkpoint: String::new(),
+            });
+        }
+    }
+
+    pub fn apply_orders(&mut self, number: usize, orders: &v1::VmOrders) {
+        let mut has_crashed = false;
+        let vm = &mut self.vms[number];
+        if vm.back_at.is_none() && orders.born == vm.incarnation {
+            vm.crash = None;
+        }
+        for start in &orders.starts {
+            let key = read_key(start.key.as_ref()).unwrap();
+            let (job, index) = (key.task.job, key.task.index);
+            let vm = &mut self.vms[number];
+            if vm.back_at.is_some() || vm.is_new || orders.born != vm.incarnation {
+                continue;
+            }
+            let seconds = self.specs[&job].steps[0].estimate.as_secs();
+            vm.running.insert(key, seconds * 1000 / ROUND);
+            if index == 0 && self.crashing.contains(&job) {
+                let crashes = self.crashes.entry(job).or_default();
+                if *crashes >= 3 {
+                    *self.starts_after_three.entry(job).or_default() += 1;
+                }
+                *crashes += 1;
+                has_crashed = true;
+            }
+        }
+        if has_crashed {
+            self.crash(number);
+        }
+    }
+
+    pub fn play_round(&mut self) {
+        self.round += 1;
+        let (now, wall) = (self.now(), self.wall());
+        for number in 0..self.vms.len() {
+            self.advance_vm(number);
+            let report = self.report(number);
+            self.leader.handle_report(report, now, wall);
+        }
+        self.leader.tick(now);
+        self.leader.place(now, wall);
+        if !self.store_is_away
+            && let Some(plan) = self.leader.begin_commit(now, wall)
+        {
+            self.progress.extend(plan.progress.iter().cloned());
+            self.leader.commit_done(&plan, now);
+        }
+        for number in 0..self.vms.len() {
+            if let Some(orders) = self.leader.orders(&format!("w{number}"), now) {
+                self.apply_orders(number, &orders);
+            }
+        }
+    }
+
+    pub fn play(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            self.play_round();
+        }
+    }
+
+    /// Plays with crashes of each VM at random moments until every job has ended.
+    pub fn play_with_crashes(&mut self, random: &mut SplitMixRandom, rounds_between: usize) {
+        for _ in 0..ROUND_LIMIT {
+            for number in 0..self.vms.len() {
+                if random.next_below(rounds_between) == 0 {
+                    self.crash(number);
+                }
+            }
+            self.play_round();
+            let is_over = |code: &JobCode| self.phase(*code).is_terminal();
+            if self.specs.keys().all(is_over) {
+                break;
+            }
+        }
+    }
+
+    /// Checks that a job has failed before its task broke the platform's rule.
+    pub fn check_failed(&self, code: JobCode) {
+        let starts = self.starts_after_three.get(&code).copied();
+        let starts = starts.unwrap_or_default();
+        assert!(starts < FORBIDDEN_STARTS, "{code}: {starts} starts");
+        assert_eq!(self.phase(code), JobPhase::Failed, "{code}");
+    }
+
+    pub fn phase(&self, code: JobCode) -> JobPhase {
+        self.leader.job(code).unwrap().phase
+    }
+}
--- a/crates/turmeric-jobs/tests/sizes.rs
+++ b/crates/turmeric-jobs/tests/sizes.rs
@@ -118,11 +118,11 @@
 #[test]
 fn starts_with_long_texts_are_split_over_several_messages() {
     let mut leader = leader();
-    let report = |at: u64| VmReport {
+    let report = VmReport {
         vm: "w0".to_owned(),
         zone: "morava-a".to_owned(),
         epoch: 1,
-        stamp_millis: at,
+        stamp_millis: 11_000,
         endpoint_info: Some(EndpointInfo {
             incarnation: EndpointIncarnation {
                 endpoint: "i-0".to_owned(),
@@ -134,14 +134,7 @@
             labels: Vec::new(),
         }),
         is_synced: true,
-        is_terminated: false,
-        is_unresponsive: false,
-        attempts: Vec::new(),
-        ends: Vec::new(),
-        refused: Vec::new(),
-        applied_orders: 0,
-        crash: None,
-        headroom: None,
+        ..VmReport::default()
     };
     let mut random = SplitMixRandom::new(1);
     let text: String = (0..4000)
@@ -149,7 +142,7 @@
         .collect();
     leader.add_job(JobCode::new(1), spec(&text), WALL);
     let now = MonoTime::from_millis(11_000);
-    leader.handle_report(report(11_000), now, WALL);
+    leader.handle_report(report, now, WALL);
     assert_eq!(leader.place(now, WALL), TASKS as usize);
     let plan = leader.begin_commit(now, WALL).unwrap();
     leader.commit_done(&plan, now);
