Ask callers to retry a job by the duration of the store's outage, and count such refusals

A job refused because of the store carries the time of StoreHealth::retry_after instead of a constant second, whether it was refused at once or after its write failed. Reads, cancellations and requests before the first configuration keep one second; forwarded requests keep the leader's header. turmericlb_store_refusals_total counts refusals where they were decided.

--- a/crates/turmeric-daemon/src/hosted/callers.rs
+++ b/crates/turmeric-daemon/src/hosted/callers.rs
@@ -24,9 +24,14 @@
 /// Maximum size of a request body if the configuration sets no limit, in bytes.
 const BODY_LIMIT: usize = 256 << 10;
 
-/// Retry-After for requests that the store could not serve; its outages last seconds.
+/// Retry-After for reads and cancellations that the store could not serve, and for every request
+/// before a configuration is known. A caller that reads a state gains nothing by a longer wait.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Extension of a response that refuses a request because of the store.
+#[derive(Clone, Copy)]
+struct StoreRefusal;
+
 /// State that the requests of an entry share.
 pub(crate) struct CallerState {
     pub(crate) store: StoreClient,
@@ -67,6 +72,12 @@
     fn is_store_unreachable(&self) -> bool {
         self.store_health().is_unreachable(self.clock.now())
     }
+
+    /// Returns the time after which the caller of a job that the store cannot take is to submit
+    /// it again.
+    fn submission_retry_after(&self, code: JobCode) -> Duration {
+        self.store_health().retry_after(code, self.clock.now())
+    }
 }
 
 /// Serves one request and updates the metrics.
@@ -81,6 +92,10 @@
     state
         .metrics
         .count_request(method, response.status().as_u16(), elapsed);
+    // A request that the leader refused is counted there.
+    if response.extensions_mut().remove::<StoreRefusal>().is_some() {
+        state.metrics.count_store_refusal(method);
+    }
     if state.is_stopping.load(Ordering::Relaxed) {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -228,6 +243,13 @@
     response
 }
 
+/// Builds a response that refuses a request because of the store.
+fn refuse_for_store(retry_after: Duration) -> Response<Body> {
+    let mut response = refuse(StatusCode::SERVICE_UNAVAILABLE, retry_after);
+    response.extensions_mut().insert(StoreRefusal);
+    response
+}
+
 /// Responds with the number of waiting jobs of a queue.
 fn show_waiting(state: &CallerState, route: &QueueRoute) -> Response<Body> {
     let queues = &state.leader.borrow().queues;
@@ -258,8 +280,12 @@
         (delay, state.clock.now().since(view.read_at))
     };
     if state.is_store_unreachable() {
-        info!("job refused", kv: { job = code.to_string(), reason = "the store does not answer" });
-        return refuse(StatusCode::SERVICE_UNAVAILABLE, STORE_RETRY_AFTER);
+        let retry_after = state.submission_retry_after(code);
+        info!("job refused", kv: {
+            job = code.to_string(), reason = "the store does not answer",
+            retry_after_ms = retry_after.as_millis() as u64
+        });
+        return refuse_for_store(retry_after);
     }
     if let AdmissionDecision::Refuse { retry_after } = admit(&spec, &delay)
         && !matches!(intake::is_accepted(state, code).await, Ok(true))
@@ -277,7 +303,7 @@
     });
     match outcome {
         WriteOutcome::Stored => respond(StatusCode::OK, String::new()),
-        WriteOutcome::NotStored => refuse(StatusCode::SERVICE_UNAVAILABLE, STORE_RETRY_AFTER),
+        WriteOutcome::NotStored => refuse_for_store(state.submission_retry_after(code)),
         // The job may still be stored, so a status that means "not accepted" could be wrong.
         WriteOutcome::Unknown => respond(StatusCode::GATEWAY_TIMEOUT, String::new()),
     }
@@ -290,7 +316,7 @@
         Ok(None) => respond(StatusCode::GONE, String::new()),
         Err(reason) => {
             info!("state not read", kv: { job = code.to_string(), reason = reason });
-            refuse(StatusCode::SERVICE_UNAVAILABLE, STORE_RETRY_AFTER)
+            refuse_for_store(STORE_RETRY_AFTER)
         }
     }
 }
@@ -302,14 +328,14 @@
         Ok(false) => return respond(StatusCode::GONE, String::new()),
         Err(reason) => {
             info!("cancellation not stored", kv: { job = code.to_string(), reason = reason });
-            return refuse(StatusCode::SERVICE_UNAVAILABLE, STORE_RETRY_AFTER);
+            return refuse_for_store(STORE_RETRY_AFTER);
         }
     }
     let outcome = intake::store_cancel(state, code).await;
     info!("cancellation sent", kv: { job = code.to_string(), outcome = format!("{outcome:?}") });
     match outcome {
         WriteOutcome::Stored => respond(StatusCode::OK, String::new()),
-        WriteOutcome::NotStored => refuse(StatusCode::SERVICE_UNAVAILABLE, STORE_RETRY_AFTER),
+        WriteOutcome::NotStored => refuse_for_store(STORE_RETRY_AFTER),
         WriteOutcome::Unknown => respond(StatusCode::GATEWAY_TIMEOUT, String::new()),
     }
 }
--- a/crates/turmeric-daemon/src/hosted/metrics.rs
+++ b/crates/turmeric-daemon/src/hosted/metrics.rs
@@ -33,6 +33,12 @@
     pub(crate) status: u32,
 }
 
+/// Method of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct MethodLabels {
+    pub(crate) method: &'static str,
+}
+
 /// Kind and outcome of an operation.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct OutcomeLabels {
@@ -48,6 +54,8 @@
     registry: Registry,
     /// Responses to callers.
     pub(crate) requests: Family<RequestLabels, Counter<u64, AtomicU64>>,
+    /// Requests that were refused because the store did not serve them.
+    store_refusals: Family<MethodLabels, Counter<u64, AtomicU64>>,
     /// Time from a request to its response.
     pub(crate) request_seconds: Histogram,
     /// Ended jobs by phase, each in time or late.
@@ -82,6 +90,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("turmericlb"),
             requests: Family::default(),
+            store_refusals: Family::default(),
             request_seconds: histogram(),
             jobs_over: Family::default(),
             job_seconds: histogram(),
@@ -101,6 +110,11 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Responses to callers", self.requests.clone());
+        registry.register(
+            "store_refusals",
+            "Requests that were refused because of the store",
+            self.store_refusals.clone(),
+        );
         registry.register_with_unit(
             "request",
             "Time from a request to its response",
@@ -171,6 +185,13 @@
         self.request_seconds.observe(elapsed.as_secs_f64());
     }
 
+    /// Counts a request that was refused because of the store.
+    pub(crate) fn count_store_refusal(&self, method: &'static str) {
+        self.store_refusals
+            .get_or_create(&MethodLabels { method })
+            .inc();
+    }
+
     /// Returns all metrics as text.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/turmeric-jobs/tests/store_health.rs
+++ b/crates/turmeric-jobs/tests/store_health.rs
@@ -126,7 +126,6 @@
 /// What happened to the jobs whose first attempt fell into an outage.
 #[derive(Debug, Default)]
 struct ReturnCount {
-    jobs: usize,
     /// Jobs whose caller made no attempt after the outage.
     exhausted: usize,
     /// Jobs that were never accepted.
@@ -216,7 +215,6 @@
         .filter(|job| is_away(*job as u64 * JOB_INTERVAL))
         .collect();
     ReturnCount {
-        jobs: jobs.len(),
         exhausted: jobs.iter().filter(|job| last_attempt[**job] < end).count(),
         not_accepted: jobs.iter().filter(|job| !is_accepted[**job]).count(),
         busiest: busiest_second(&returns),
