Tell which rule of placement excludes a VM from a waiting task

The leader showed idle processors and waiting tasks, but not why the one did not serve the other. PlacementRequest::exclusion names the rule; it shares its chain of checks with fits, so the two can't differ, and placement decides as before. JobScheduler::summarize_exclusions counts the excluded VMs for one waiting task of each of at most 64 ready steps, without state of its own.

--- a/crates/turmeric-jobs/benches/leader.rs
+++ b/crates/turmeric-jobs/benches/leader.rs
@@ -169,6 +169,9 @@
     criterion.bench_function("placement without free capacity", |bencher| {
         bencher.iter(|| full.place(now, wall));
     });
+    criterion.bench_function("causes for which tasks wait", |bencher| {
+        bencher.iter(|| full.summarize_exclusions(now, wall));
+    });
     for _ in 0..8 {
         if let Some(plan) = full.begin_commit(now, wall) {
             full.commit_done(&plan, MonoTime::from_millis(NOW));
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -39,7 +39,9 @@
 pub use names::{AttemptKey, AttemptNumber, EndpointIncarnation, JobCode, NameError, TaskName};
 pub use order::{JobRank, JobUrgency, RankTier, RemainingWork, judge_urgency, rank_job};
 pub use pace::{BestEffortNeighbour, InterferenceTable, ServingNeighbour, choose_paces};
-pub use placement::{PlacementFailures, PlacementRequest, ServingHeadroom, VmCapacity, choose_vm};
+pub use placement::{
+    ExclusionCause, PlacementFailures, PlacementRequest, ServingHeadroom, VmCapacity, choose_vm,
+};
 pub use policy::{
     ConsolidationPolicy, LongRunningOrder, LongRunningStart, PacingPolicy, PolicyError, PolicySet,
     StarvationPolicy,
@@ -50,6 +52,8 @@
     write_key,
 };
 pub use scheduler::{CommitPlan, JobScheduler, LeaderTimeouts};
-pub use scheduler::{EvictionCause, JobEvent, LossCause};
+pub use scheduler::{
+    EvictionCause, ExclusionCounts, ExclusionSummary, JobEvent, LossCause, WaitingStep,
+};
 pub use spec::{CORE_LIMIT, JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
 pub use store_health::{DeliveryOutcome, StoreHealth};
--- a/crates/turmeric-jobs/src/placement.rs
+++ b/crates/turmeric-jobs/src/placement.rs
@@ -65,6 +65,73 @@
 /// Granularity in which VMs are compared by headroom.
 const HEADROOM_STEP: f64 = 0.1;
 
+/// Why a VM cannot run a waiting task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ExclusionCause {
+    /// The VM's endpoint is of another service.
+    Service,
+    /// The VM lacks the step's label.
+    Label,
+    /// The VM has as many tasks of the step as the step allows.
+    VmLimit,
+    /// Too few processors are free.
+    Processors,
+    /// Too little memory is free.
+    Memory,
+    /// Too few accelerators are free.
+    Accelerators,
+    /// Too few processors are idle for a best-effort task.
+    Idle,
+    /// A serving task on the VM would lose too much headroom to a best-effort task.
+    Headroom,
+    /// The task was recently evicted from the VM.
+    Avoided,
+    /// The VM accepts no tasks: it is draining, in a closed zone, not reporting or kept free for
+    /// another reason.
+    Closed,
+}
+
+impl ExclusionCause {
+    /// All causes.
+    pub const ALL: [Self; 10] = [
+        Self::Service,
+        Self::Label,
+        Self::VmLimit,
+        Self::Processors,
+        Self::Memory,
+        Self::Accelerators,
+        Self::Idle,
+        Self::Headroom,
+        Self::Avoided,
+        Self::Closed,
+    ];
+
+    /// Returns the cause's name in logs and metrics.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Service => "service",
+            Self::Label => "label",
+            Self::VmLimit => "vm_limit",
+            Self::Processors => "processors",
+            Self::Memory => "memory",
+            Self::Accelerators => "accelerators",
+            Self::Idle => "idle",
+            Self::Headroom => "headroom",
+            Self::Avoided => "avoided",
+            Self::Closed => "closed",
+        }
+    }
+}
+
+/// A check that a VM fails for a task.
+#[derive(Clone, Copy, Debug)]
+enum FailedCheck {
+    /// The free resources are too small.
+    Resources,
+    /// Any other check, with its cause.
+    Cause(ExclusionCause),
+}
+
 /// Requirements of a task to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementRequest<'a> {
@@ -142,22 +209,76 @@
     /// Returns whether the VM may run the task; `placed` returns how many tasks of the
     /// same step and occurrence are already on it.
     pub fn fits(&self, vm: &VmCapacity, placed: impl FnOnce() -> u32) -> bool {
-        self.step.reserved().fits_in(&vm.free)
-            && vm.service == self.service
-            && self
-                .step
-                .label
-                .as_ref()
-                .is_none_or(|label| vm.labels.contains(label))
-            && (!self.step.is_best_effort || self.fits_best_effort(vm))
-            && self.step.vm_limit.is_none_or(|limit| placed() < limit)
+        self.failed_check(vm, placed).is_none()
+    }
+
+    /// Returns why the VM cannot run the task, or [`None`] exactly if the task fits; `placed`
+    /// returns how many tasks of the same step and occurrence are already on the VM.
+    ///
+    /// Load pattern: tasks wait while processors of the cluster are idle. The free capacity
+    /// alone does not tell which rule keeps the tasks from it.
+    ///
+    /// Where several causes apply, one that no free capacity changes comes first.
+    pub fn exclusion(
+        &self,
+        vm: &VmCapacity,
+        placed: impl FnOnce() -> u32,
+    ) -> Option<ExclusionCause> {
+        self.failed_check(vm, placed).map(|check| match check {
+            FailedCheck::Resources => self
+                .lasting_exclusion(vm)
+                .unwrap_or_else(|| self.lacking_resource(vm)),
+            FailedCheck::Cause(cause) => cause,
+        })
+    }
+
+    /// Returns the first check that the VM fails.
+    ///
+    /// Placement calls this for each task and VM, so the cheapest check comes first; which
+    /// resource is short is left to [`Self::exclusion`].
+    #[inline]
+    fn failed_check(&self, vm: &VmCapacity, placed: impl FnOnce() -> u32) -> Option<FailedCheck> {
+        if !self.step.reserved().fits_in(&vm.free) {
+            return Some(FailedCheck::Resources);
+        }
+        if let Some(cause) = self.lasting_exclusion(vm) {
+            return Some(FailedCheck::Cause(cause));
+        }
+        if self.step.is_best_effort {
+            if self.step.need.cores > vm.idle() {
+                return Some(FailedCheck::Cause(ExclusionCause::Idle));
+            }
+            // A headroom that is not a number fails the check.
+            let keeps_headroom = self.is_starved || self.headroom_after(vm) >= MIN_HEADROOM_AFTER;
+            if !keeps_headroom {
+                return Some(FailedCheck::Cause(ExclusionCause::Headroom));
+            }
+        }
+        let is_below_limit = self.step.vm_limit.is_none_or(|limit| placed() < limit);
+        (!is_below_limit).then_some(FailedCheck::Cause(ExclusionCause::VmLimit))
+    }
+
+    /// Returns the cause that excludes the VM whatever its free capacity, if there is one.
+    #[inline]
+    fn lasting_exclusion(&self, vm: &VmCapacity) -> Option<ExclusionCause> {
+        if vm.service != self.service {
+            return Some(ExclusionCause::Service);
+        }
+        let label = self.step.label.as_ref();
+        let has_label = label.is_none_or(|label| vm.labels.contains(label));
+        (!has_label).then_some(ExclusionCause::Label)
     }
 
-    /// Returns whether the VM has idle processors for a best-effort task, and enough
-    /// headroom is left to its serving tasks.
-    fn fits_best_effort(&self, vm: &VmCapacity) -> bool {
-        self.step.need.cores <= vm.idle()
-            && (self.is_starved || self.headroom_after(vm) >= MIN_HEADROOM_AFTER)
+    /// Returns the first resource of which the VM has too little free.
+    fn lacking_resource(&self, vm: &VmCapacity) -> ExclusionCause {
+        let reserved = self.step.reserved();
+        if reserved.cores > vm.free.cores {
+            ExclusionCause::Processors
+        } else if reserved.memory > vm.free.memory {
+            ExclusionCause::Memory
+        } else {
+            ExclusionCause::Accelerators
+        }
     }
 
     /// Returns the least headroom of the VM's serving steps after a best-effort task is
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -8,6 +8,7 @@
 mod consolidate;
 mod crashes;
 mod ends;
+mod exclusions;
 mod load;
 mod losses;
 mod moves;
@@ -33,6 +34,7 @@
 use vm::{VmAttempt, VmState};
 
 pub use commit::CommitPlan;
+pub use exclusions::{ExclusionCounts, ExclusionSummary, WaitingStep};
 pub use notes::{EvictionCause, JobEvent, LossCause};
 
 /// Timeouts that follow from the platform's contract and its clocks.
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -35,12 +35,12 @@
 
 /// Reserved and all processors of the VMs of each service, in thousandths.
 #[derive(Default)]
-struct ServiceUsage {
+pub(super) struct ServiceUsage {
     totals: BTreeMap<String, (u64, u64)>,
 }
 
 impl ServiceUsage {
-    fn new<'a>(capacities: impl Iterator<Item = &'a VmCapacity>) -> Self {
+    pub(super) fn new<'a>(capacities: impl Iterator<Item = &'a VmCapacity>) -> Self {
         let mut usage = Self::default();
         for vm in capacities {
             let total = usage.totals.entry(vm.service.clone()).or_default();
@@ -146,7 +146,7 @@
     }
 
     /// Returns whether a long-running job waits for others that may arrive at the same time.
-    fn is_gathering(&self, job: &JobState, wall: WallTime) -> bool {
+    pub(super) fn is_gathering(&self, job: &JobState, wall: WallTime) -> bool {
         match self.policies.long_running_start {
             LongRunningStart::AtOnce => false,
             LongRunningStart::Gathered => {
@@ -212,13 +212,7 @@
             table: &self.headroom,
             is_starved: false,
         };
-        let is_idle = job.tasks.values().all(|state| state.location.is_none());
-        let may_interfere = match self.policies.starvation {
-            StarvationPolicy::Always => true,
-            StarvationPolicy::BelowHalfUse => round.usage.is_below_half(service),
-        };
-        let is_starved =
-            may_interfere && is_idle && round.wall > job.spec.accepted_at.after(STARVATION_TIMEOUT);
+        let is_starved = self.is_starved(job, service, &round.usage, round.wall);
         let has_reservation = waiting.iter().any(|task| round.reserved.contains_key(task));
         if !is_starved && !has_reservation && round.failures.covers(service, step) {
             return Vec::new();
@@ -306,6 +300,23 @@
         chosen
     }
 
+    /// Returns whether a task of the job may interfere with serving tasks, because none of its
+    /// tasks runs and it has waited long enough.
+    pub(super) fn is_starved(
+        &self,
+        job: &JobState,
+        service: &str,
+        usage: &ServiceUsage,
+        wall: WallTime,
+    ) -> bool {
+        let is_idle = job.tasks.values().all(|state| state.location.is_none());
+        let may_interfere = match self.policies.starvation {
+            StarvationPolicy::Always => true,
+            StarvationPolicy::BelowHalfUse => usage.is_below_half(service),
+        };
+        may_interfere && is_idle && wall > job.spec.accepted_at.after(STARVATION_TIMEOUT)
+    }
+
     /// Assigns the tasks to the chosen VMs; the next commit records it in the store.
     fn assign(&mut self, code: JobCode, chosen: Vec<TaskPlacement>, now: MonoTime) {
         if chosen.is_empty() {
@@ -389,7 +400,7 @@
 }
 
 /// Returns whether an occurrence of the job may start.
-fn is_due(job: &JobState, occurrence: u32, wall: WallTime) -> bool {
+pub(super) fn is_due(job: &JobState, occurrence: u32, wall: WallTime) -> bool {
     job.spec.repeat.is_none_or(|repeat| {
         let due = repeat.first_due_at.after(repeat.interval * occurrence);
         wall >= due
