Name the main cause of a wait in turmericctl explain

A job that was late, or of which nothing was placed, now shows the cause that excluded the most VMs in its "tasks wait for capacity" lines. Tests: a cause that changes during the wait, a wait after a quick start, a job that still waits, and a line without a cause.

--- a/crates/turmeric-ctl/src/command/explain.rs
+++ b/crates/turmeric-ctl/src/command/explain.rs
@@ -280,18 +280,40 @@
         if waited * 2 > objective {
             parts.insert(0, format!("waited {waited} ms for room"));
         }
+        if let Some(cause) = self.exclusion() {
+            parts.push(format!("most VMs excluded by {cause}"));
+        }
         if parts.is_empty() {
             parts.push("its tasks took longer than estimated".to_owned());
         }
         parts.join(", ")
     }
 
+    /// Returns the cause that excluded the most VMs while tasks waited for capacity, summed over
+    /// all lines.
+    fn exclusion(&self) -> Option<&str> {
+        let mut counts: BTreeMap<&str, u64> = BTreeMap::new();
+        let lines = self.own.iter();
+        for line in lines.filter(|line| line.what == "tasks wait for capacity") {
+            let causes = line.text("causes").split(", ");
+            for (cause, vms) in causes.filter_map(|cause| cause.split_once(' ')) {
+                *counts.entry(cause).or_default() += vms.parse::<u64>().unwrap_or_default();
+            }
+        }
+        let largest = counts.into_iter().max_by_key(|(_, vms)| *vms);
+        largest.map(|(cause, _)| cause)
+    }
+
     fn cause_of_wait(&self) -> String {
         let is_placed = self.own.iter().any(|line| line.what == "tasks placed");
         if is_placed {
             format!("not over yet: {}", self.delays(0))
         } else {
-            "accepted, and nothing was placed yet".to_owned()
+            let waits = "accepted, and nothing was placed yet";
+            self.exclusion().map_or_else(
+                || waits.to_owned(),
+                |cause| format!("{waits}: most VMs excluded by {cause}"),
+            )
         }
     }
 
--- a/crates/turmeric-ctl/tests/explain.rs
+++ b/crates/turmeric-ctl/tests/explain.rs
@@ -66,6 +66,48 @@
     ],
     "late by 3000 ms: waited 3500 ms for room, 1 x attempt lost (lease_over)"
 )]
+#[case::late_for_lack_of_headroom(
+    vec![
+        job_line(1000, "job sent", "\"outcome\":\"Stored\""),
+        // The last line alone would name another cause than most of the wait had.
+        job_line(2000, "tasks wait for capacity",
+            "\"step\":\"0.0\",\"tasks\":39,\"causes\":\"headroom 51, idle 11, closed 4\""),
+        job_line(3000, "tasks wait for capacity",
+            "\"step\":\"0.0\",\"tasks\":39,\"causes\":\"headroom 49, idle 13, closed 4\""),
+        job_line(4000, "tasks wait for capacity",
+            "\"step\":\"0.0\",\"tasks\":2,\"causes\":\"idle 62, closed 4\""),
+        // A line about another job.
+        line(4100, "entry-1", "tasks wait for capacity",
+            "\"job\":\"00000000000000ff\",\"causes\":\"memory 9000\""),
+        job_line(4500, "tasks placed", "\"age_ms\":3500,\"tasks\":39"),
+        job_line(9000, "job over", "\"phase\":\"done\",\"age_ms\":8000,\"objective_ms\":5000"),
+    ],
+    "late by 3000 ms: waited 3500 ms for room, most VMs excluded by headroom"
+)]
+#[case::late_after_a_quick_start(
+    vec![
+        job_line(1000, "tasks placed", "\"age_ms\":20,\"tasks\":4"),
+        job_line(3000, "tasks wait for capacity",
+            "\"step\":\"0.1\",\"tasks\":4,\"causes\":\"memory 7, processors 3\""),
+        job_line(9000, "job over", "\"phase\":\"done\",\"age_ms\":8000,\"objective_ms\":5000"),
+    ],
+    "late by 3000 ms: most VMs excluded by memory"
+)]
+#[case::waiting(
+    vec![
+        job_line(1000, "job sent", "\"outcome\":\"Stored\""),
+        job_line(2000, "tasks wait for capacity",
+            "\"step\":\"0.0\",\"tasks\":4,\"causes\":\"label 60, vm_limit 6\""),
+    ],
+    "accepted, and nothing was placed yet: most VMs excluded by label"
+)]
+#[case::without_an_excluded_vm(
+    vec![
+        job_line(1000, "job sent", "\"outcome\":\"Stored\""),
+        job_line(2000, "tasks wait for capacity", "\"tasks\":4,\"causes\":\"none\""),
+    ],
+    "accepted, and nothing was placed yet"
+)]
 #[case::failed(
     vec![job_line(9, "job over", "\"phase\":\"failed\",\"age_ms\":8,\"objective_ms\":9,\"failures\":4")],
     "failed: 4 attempts failed"
