Log and count why tasks wait at the leader

Once a second, with the load line: "tasks wait for capacity" for the step that has waited longest, the totals and the time that they took in the load line, and the gauge turmericlb_waiting_tasks by main cause, which is zero again when the leadership ends.

--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinSet;
 use turmeric_jobs::{CommitPlan, JobScheduler, VmReport};
 use turmeric_schema::{Message, v1};
-use turmeric_types::{CoreCount, MonoTime};
+use turmeric_types::{CoreCount, MonoTime, WallTime};
 
 use super::decision_log::DecisionLog;
 use super::intake::{
@@ -116,6 +116,7 @@
     let end = leader_loop
         .run(intake, reports, links, &report_sender, &mut background)
         .await;
+    context.metrics.set_waiting_tasks(|_| 0);
     info!("no longer leads", kv: { epoch = grant.epoch, end = format!("{end:?}") });
     end
 }
@@ -350,12 +351,15 @@
             self.load_logged_at = now;
             let open_jobs = self.scheduler.open_jobs() as i64;
             self.context.metrics.open_jobs.set(open_jobs);
-            let load = self.scheduler.describe_load(now, self.context.clock.wall());
+            let wall = self.context.clock.wall();
+            let load = self.scheduler.describe_load(now, wall);
+            let waits = self.summarize_exclusions(now, wall);
             let timings = std::mem::take(&mut self.timings);
             info!("load", kv: {
-                queues = load, reports = timings.reports.describe(),
+                queues = load, waits = waits, reports = timings.reports.describe(),
                 orders = timings.orders.describe(), placements = timings.placements.describe(),
-                writes = timings.writes.describe(), ticks = timings.ticks.describe()
+                writes = timings.writes.describe(), ticks = timings.ticks.describe(),
+                exclusions = timings.exclusions.describe()
             });
             let missing = self.scheduler.describe_unplaced(LOGGED_TASK_LIMIT);
             if !missing.is_empty() {
@@ -366,6 +370,25 @@
         }
     }
 
+    /// Logs and counts why tasks wait; returns the totals for the line about load.
+    fn summarize_exclusions(&mut self, now: MonoTime, wall: WallTime) -> String {
+        let started_at = self.context.clock.now();
+        let summary = self.scheduler.summarize_exclusions(now, wall);
+        self.context
+            .metrics
+            .set_waiting_tasks(|cause| summary.tasks.get(&cause).copied().unwrap_or_default());
+        if let Some(step) = &summary.longest {
+            info!("tasks wait for capacity", kv: {
+                job = step.first.job.to_string(),
+                step = format!("{}.{}", step.first.occurrence, step.first.step),
+                tasks = step.tasks, causes = step.causes.to_string()
+            });
+        }
+        let elapsed = self.context.clock.now().since(started_at);
+        self.timings.exclusions.add(elapsed);
+        summary.to_string()
+    }
+
     /// Places tasks, logs events, writes to the store and sends orders, each if due.
     fn run_due_actions(&mut self) {
         let now = self.context.clock.now();
--- a/crates/turmeric-daemon/src/hosted/loop_timings.rs
+++ b/crates/turmeric-daemon/src/hosted/loop_timings.rs
@@ -11,6 +11,8 @@
     pub(crate) writes: TimingTotal,
     /// Expired leases, evictions and moves.
     pub(crate) ticks: TimingTotal,
+    /// Causes for which tasks wait.
+    pub(crate) exclusions: TimingTotal,
 }
 
 /// Number of calls and their total time.
--- a/crates/turmeric-daemon/src/hosted/metrics.rs
+++ b/crates/turmeric-daemon/src/hosted/metrics.rs
@@ -18,6 +18,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use spdlog::{info, warn};
 use tokio::net::TcpListener;
+use turmeric_jobs::ExclusionCause;
 
 /// Lowest bound of the histograms, in seconds; each of the twelve bounds is twice the one
 /// before, up to 4 s.
@@ -40,6 +41,12 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Cause for which a task waits.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CauseLabels {
+    pub(crate) cause: &'static str,
+}
+
 type OutcomeCounter = Family<OutcomeLabels, Counter<u64, AtomicU64>>;
 
 /// The metrics of a process.
@@ -66,6 +73,8 @@
     pub(crate) lead_epoch: Gauge<i64, AtomicI64>,
     /// Jobs that have not ended, at the leader.
     pub(crate) open_jobs: Gauge<i64, AtomicI64>,
+    /// Waiting tasks by the cause that excludes the most VMs, at the leader.
+    pub(crate) waiting_tasks: Family<CauseLabels, Gauge<i64, AtomicI64>>,
     /// Attempts in an agent's table.
     pub(crate) held_attempts: Gauge<i64, AtomicI64>,
     /// Log lines that were dropped because their reader was too slow.
@@ -91,6 +100,7 @@
             workers: Family::default(),
             lead_epoch: Gauge::default(),
             open_jobs: Gauge::default(),
+            waiting_tasks: Family::default(),
             held_attempts: Gauge::default(),
             lines_dropped: crate::logging::dropped_lines(),
         };
@@ -149,6 +159,11 @@
             "Jobs that have not ended",
             self.open_jobs.clone(),
         );
+        registry.register(
+            "waiting_tasks",
+            "Tasks that fit no VM, by the cause that excludes the most VMs",
+            self.waiting_tasks.clone(),
+        );
         registry.register(
             "held_attempts",
             "Attempts in the agent's table",
@@ -171,6 +186,17 @@
         self.request_seconds.observe(elapsed.as_secs_f64());
     }
 
+    /// Sets the number of waiting tasks for each cause; `tasks` returns the number.
+    pub(crate) fn set_waiting_tasks(&self, tasks: impl Fn(ExclusionCause) -> usize) {
+        for cause in ExclusionCause::ALL {
+            let labels = CauseLabels {
+                cause: cause.label(),
+            };
+            let gauge = self.waiting_tasks.get_or_create(&labels);
+            gauge.set(tasks(cause) as i64);
+        }
+    }
+
     /// Returns all metrics as text.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
