Measure the legs of a job's way to its first start

A late start showed only as the age of the first placement. The histograms turmericlb_start_leg_seconds{leg} split it at events that the entry and the leader already have; no call, message or row is added. Jobs that a leader reads at its takeover and repeated jobs are left out, because their legs began elsewhere or later. The order of the legs is pure code (StartTracker) with a test; the metric was not checked with running processes.

--- a/crates/turmeric-daemon/src/hosted/callers.rs
+++ b/crates/turmeric-daemon/src/hosted/callers.rs
@@ -10,7 +10,9 @@
 use axum::http::{Method, Request, Response, StatusCode, header};
 use spdlog::info;
 use tokio::sync::watch;
-use turmeric_jobs::{AdmissionDecision, DeliveryOutcome, JobCode, QueueDelay, StoreHealth, admit};
+use turmeric_jobs::{
+    AdmissionDecision, DeliveryOutcome, JobCode, QueueDelay, StartLeg, StoreHealth, admit,
+};
 use turmeric_platform::{
     OperatorConfig, QueueRoute, StoreClient, read_job, write_phase, write_waiting,
 };
@@ -271,7 +273,12 @@
         });
         return refuse(StatusCode::TOO_MANY_REQUESTS, retry_after);
     }
+    let write_started_at = state.clock.now();
     let outcome = intake::store_job(state, code, &spec).await;
+    if outcome == WriteOutcome::Stored {
+        let elapsed = state.clock.now().since(write_started_at);
+        state.metrics.record_leg(StartLeg::Store, elapsed);
+    }
     info!("job sent", kv: {
         job = code.to_string(), queue = route.policy.route, outcome = format!("{outcome:?}")
     });
--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -9,7 +9,9 @@
 use spdlog::{info, warn};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
-use turmeric_jobs::{CommitPlan, JobScheduler, VmReport};
+use turmeric_jobs::{
+    CommitPlan, JobCode, JobEvent, JobScheduler, StartLeg, StartTracker, VmReport,
+};
 use turmeric_schema::{Message, v1};
 use turmeric_types::{CoreCount, MonoTime, WallTime};
 
@@ -111,6 +113,7 @@
         link_count: 0,
         commits: JoinSet::new(),
         decisions: DecisionLog::default(),
+        start_legs: StartTracker::default(),
         timings: LoopTimings::default(),
     };
     let end = leader_loop
@@ -223,6 +226,7 @@
     link_count: u64,
     commits: JoinSet<CommitOutcome>,
     decisions: DecisionLog,
+    start_legs: StartTracker,
     timings: LoopTimings,
 }
 
@@ -250,7 +254,15 @@
                 Some(end) = self.commits.join_next() => match end {
                     Ok(CommitOutcome::Done { plan, version }) => {
                         self.version = version;
-                        self.scheduler.commit_done(&plan, self.context.clock.now());
+                        let now = self.context.clock.now();
+                        self.scheduler.commit_done(&plan, now);
+                        for (job, _) in &plan.progress {
+                            self.finish_leg(*job, StartLeg::Record, now);
+                        }
+                        // The event of a job's end may have been dropped.
+                        for job in &plan.forgotten {
+                            self.start_legs.remove(*job);
+                        }
                         if self.context.callers.is_stopping.load(Ordering::Relaxed)
                             && is_release(&plan)
                         {
@@ -279,7 +291,15 @@
     fn apply_intake(&mut self, row: IntakeRow) {
         let wall = self.context.clock.wall();
         match row {
-            IntakeRow::Job(code, spec) => self.scheduler.add_job(code, spec, wall),
+            IntakeRow::Job(code, spec) => {
+                // A repeated job may wait for hours until it is due.
+                if spec.repeat.is_none() && self.scheduler.job(code).is_none() {
+                    let age = wall.since(spec.accepted_at);
+                    self.context.metrics.record_leg(StartLeg::Intake, age);
+                    self.start_legs.begin(code, self.context.clock.now());
+                }
+                self.scheduler.add_job(code, spec, wall);
+            }
             IntakeRow::Cancel(code) => {
                 info!("job cancelled", kv: { job = code.to_string() });
                 self.scheduler.cancel_job(code, wall);
@@ -301,6 +321,15 @@
                 return;
             }
         };
+        if !self.start_legs.is_empty() {
+            for attempt in report
+                .attempts
+                .iter()
+                .filter(|attempt| attempt.is_confirmed)
+            {
+                self.finish_leg(attempt.key.task.job, StartLeg::Order, started_at);
+            }
+        }
         self.needs_placement |= !report.ends.is_empty() || !report.refused.is_empty();
         let vm = report.vm.clone();
         let now = self.context.clock.now();
@@ -433,6 +462,16 @@
         let (events, omitted) = self.scheduler.take_events();
         let metrics = &self.context.metrics;
         for event in events {
+            match &event {
+                JobEvent::Placed { job, .. } => {
+                    let elapsed = self.start_legs.finish(*job, StartLeg::Placement, now);
+                    if let Some(elapsed) = elapsed {
+                        metrics.record_leg(StartLeg::Placement, elapsed);
+                    }
+                }
+                JobEvent::Finished { job, .. } => self.start_legs.remove(*job),
+                _ => {}
+            }
             self.decisions.log(event, metrics, now);
         }
         if omitted > 0 {
@@ -440,6 +479,13 @@
         }
     }
 
+    /// Records the time of a leg if a job has just finished it.
+    fn finish_leg(&mut self, job: JobCode, leg: StartLeg, now: MonoTime) {
+        if let Some(elapsed) = self.start_legs.finish(job, leg, now) {
+            self.context.metrics.record_leg(leg, elapsed);
+        }
+    }
+
     /// Queues orders for the agent of a VM.
     fn send_orders(&mut self, vm: &str, now: MonoTime) {
         // Once the store has not confirmed this leader for a while, another entry may lead. A
--- a/crates/turmeric-daemon/src/hosted/metrics.rs
+++ b/crates/turmeric-daemon/src/hosted/metrics.rs
@@ -18,7 +18,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use spdlog::{info, warn};
 use tokio::net::TcpListener;
-use turmeric_jobs::ExclusionCause;
+use turmeric_jobs::{ExclusionCause, StartLeg};
 
 /// Lowest bound of the histograms, in seconds; each of the twelve bounds is twice the one
 /// before, up to 4 s.
@@ -47,6 +47,12 @@
     pub(crate) cause: &'static str,
 }
 
+/// Leg of a job's way to its first start.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct LegLabels {
+    pub(crate) leg: &'static str,
+}
+
 type OutcomeCounter = Family<OutcomeLabels, Counter<u64, AtomicU64>>;
 
 /// The metrics of a process.
@@ -71,6 +77,8 @@
     pub(crate) workers: OutcomeCounter,
     /// Epoch of this entry's leadership; zero while it does not lead.
     pub(crate) lead_epoch: Gauge<i64, AtomicI64>,
+    /// Time of each leg of a job's way to its first start.
+    pub(crate) start_leg_seconds: Family<LegLabels, Histogram, fn() -> Histogram>,
     /// Jobs that have not ended, at the leader.
     pub(crate) open_jobs: Gauge<i64, AtomicI64>,
     /// Waiting tasks by the cause that excludes the most VMs, at the leader.
@@ -99,6 +107,7 @@
             worker_calls: Family::default(),
             workers: Family::default(),
             lead_epoch: Gauge::default(),
+            start_leg_seconds: Family::new_with_constructor(histogram),
             open_jobs: Gauge::default(),
             waiting_tasks: Family::default(),
             held_attempts: Gauge::default(),
@@ -154,6 +163,12 @@
             "Epoch of this entry's leadership, or zero while it does not lead",
             self.lead_epoch.clone(),
         );
+        registry.register_with_unit(
+            "start_leg",
+            "Time of each leg of a job's way to its first start",
+            Unit::Seconds,
+            self.start_leg_seconds.clone(),
+        );
         registry.register(
             "open_jobs",
             "Jobs that have not ended",
@@ -197,6 +212,14 @@
         }
     }
 
+    /// Records the time of a leg of a job's way to its first start.
+    pub(crate) fn record_leg(&self, leg: StartLeg, elapsed: Duration) {
+        let labels = LegLabels { leg: leg.label() };
+        self.start_leg_seconds
+            .get_or_create(&labels)
+            .observe(elapsed.as_secs_f64());
+    }
+
     /// Returns all metrics as text.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -19,6 +19,7 @@
 mod report;
 mod scheduler;
 mod spec;
+mod start_legs;
 mod store_health;
 
 pub use admission::{AdmissionDecision, QueueDelay, WorkDelay, admit};
@@ -56,4 +57,5 @@
     EvictionCause, ExclusionCounts, ExclusionSummary, JobEvent, LossCause, WaitingStep,
 };
 pub use spec::{CORE_LIMIT, JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
+pub use start_legs::{StartLeg, StartTracker};
 pub use store_health::{DeliveryOutcome, StoreHealth};
