--- a/crates/turmeric-daemon/src/hosted/metrics.rs
+++ b/crates/turmeric-daemon/src/hosted/metrics.rs
@@ -18,6 +18,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use spdlog::{info, warn};
 use tokio::net::TcpListener;
+use turmeric_jobs::{ExclusionCause, StartLeg};
 
 /// Lowest bound of the histograms, in seconds; each of the twelve bounds is twice the one
 /// before, up to 4 s.
@@ -46,6 +47,18 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Cause for which a task waits.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CauseLabels {
+    pub(crate) cause: &'static str,
+}
+
+/// Leg of a job's way to its first start.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct LegLabels {
+    pub(crate) leg: &'static str,
+}
+
 type OutcomeCounter = Family<OutcomeLabels, Counter<u64, AtomicU64>>;
 
 /// The metrics of a process.
@@ -72,8 +85,12 @@
     pub(crate) workers: OutcomeCounter,
     /// Epoch of this entry's leadership; zero while it does not lead.
     pub(crate) lead_epoch: Gauge<i64, AtomicI64>,
+    /// Time of each leg of a job's way to its first start.
+    pub(crate) start_leg_seconds: Family<LegLabels, Histogram, fn() -> Histogram>,
     /// Jobs that have not ended, at the leader.
     pub(crate) open_jobs: Gauge<i64, AtomicI64>,
+    /// Waiting tasks by the cause that excludes the most VMs, at the leader.
+    pub(crate) waiting_tasks: Family<CauseLabels, Gauge<i64, AtomicI64>>,
     /// Attempts in an agent's table.
     pub(crate) held_attempts: Gauge<i64, AtomicI64>,
     /// Log lines that were dropped because their reader was too slow.
@@ -99,7 +116,9 @@
             worker_calls: Family::default(),
             workers: Family::default(),
             lead_epoch: Gauge::default(),
+            start_leg_seconds: Family::new_with_constructor(histogram),
             open_jobs: Gauge::default(),
+            waiting_tasks: Family::default(),
             held_attempts: Gauge::default(),
             lines_dropped: crate::logging::dropped_lines(),
         };
@@ -158,11 +177,22 @@
             "Epoch of this entry's leadership, or zero while it does not lead",
             self.lead_epoch.clone(),
         );
+        registry.register_with_unit(
+            "start_leg",
+            "Time of each leg of a job's way to its first start",
+            Unit::Seconds,
+            self.start_leg_seconds.clone(),
+        );
         registry.register(
             "open_jobs",
             "Jobs that have not ended",
             self.open_jobs.clone(),
         );
+        registry.register(
+            "waiting_tasks",
+            "Tasks that fit no VM, by the cause that excludes the most VMs",
+            self.waiting_tasks.clone(),
+        );
         registry.register(
             "held_attempts",
             "Attempts in the agent's table",
@@ -192,6 +222,25 @@
             .inc();
     }
 
+    /// Sets the number of waiting tasks for each cause; `tasks` returns the number.
+    pub(crate) fn set_waiting_tasks(&self, tasks: impl Fn(ExclusionCause) -> usize) {
+        for cause in ExclusionCause::ALL {
+            let labels = CauseLabels {
+                cause: cause.label(),
+            };
+            let gauge = self.waiting_tasks.get_or_create(&labels);
+            gauge.set(tasks(cause) as i64);
+        }
+    }
+
+    /// Records the time of a leg of a job's way to its first start.
+    pub(crate) fn record_leg(&self, leg: StartLeg, elapsed: Duration) {
+        let labels = LegLabels { leg: leg.label() };
+        self.start_leg_seconds
+            .get_or_create(&labels)
+            .observe(elapsed.as_secs_f64());
+    }
+
     /// Returns all metrics as text.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -19,6 +19,7 @@
 mod report;
 mod scheduler;
 mod spec;
+mod start_legs;
 mod store_health;
 
 pub use admission::{AdmissionDecision, QueueDelay, WorkDelay, admit};
@@ -39,7 +40,9 @@
 pub use names::{AttemptKey, AttemptNumber, EndpointIncarnation, JobCode, NameError, TaskName};
 pub use order::{JobRank, JobUrgency, RankTier, RemainingWork, judge_urgency, rank_job};
 pub use pace::{BestEffortNeighbour, InterferenceTable, ServingNeighbour, choose_paces};
-pub use placement::{PlacementFailures, PlacementRequest, ServingHeadroom, VmCapacity, choose_vm};
+pub use placement::{
+    ExclusionCause, PlacementFailures, PlacementRequest, ServingHeadroom, VmCapacity, choose_vm,
+};
 pub use policy::{
     ConsolidationPolicy, LongRunningOrder, LongRunningStart, PacingPolicy, PolicyError, PolicySet,
     StarvationPolicy,
@@ -50,6 +53,9 @@
     write_key,
 };
 pub use scheduler::{CommitPlan, JobScheduler, LeaderTimeouts};
-pub use scheduler::{EvictionCause, JobEvent, LossCause};
+pub use scheduler::{
+    EvictionCause, ExclusionCounts, ExclusionSummary, JobEvent, LossCause, WaitingStep,
+};
 pub use spec::{CORE_LIMIT, JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
+pub use start_legs::{StartLeg, StartTracker};
 pub use store_health::{DeliveryOutcome, StoreHealth};
