--- a/crates/turmeric-daemon/src/hosted/callers.rs
+++ b/crates/turmeric-daemon/src/hosted/callers.rs
@@ -11,7 +11,8 @@
 use spdlog::info;
 use tokio::sync::watch;
 use turmeric_jobs::{
-    AdmissionDecision, DeliveryOutcome, JobCode, QueueDelay, StartLeg, StoreHealth, admit,
+    AdmissionAccount, AdmissionDecision, DeliveryOutcome, JobCode, QueueDelay, StartLeg,
+    StoreHealth, decide_admission,
 };
 use turmeric_platform::{
     OperatorConfig, QueueRoute, StoreClient, read_job, write_phase, write_waiting,
@@ -19,7 +20,7 @@
 
 use super::forward::{ForwardPlan, ForwardResult, LeaderForward, outcome_of};
 use super::intake::{self, WriteOutcome};
-use super::metrics::ProcessMetrics;
+use super::metrics::{ProcessMetrics, ShedCause};
 use super::view::{LeaderView, OperatorView};
 use crate::clock::ProcessClock;
 
@@ -46,6 +47,8 @@
     pub(crate) forward: LeaderForward,
     /// Address to which this entry's callers connect.
     pub(crate) address: SocketAddr,
+    /// Which waiting work decides on the admission of jobs.
+    pub(crate) admission_account: AdmissionAccount,
     /// Whether the store answers this entry, by its last calls.
     pub(crate) store_health: Mutex<StoreHealth>,
 }
@@ -289,11 +292,14 @@
         });
         return refuse_for_store(retry_after);
     }
-    if let AdmissionDecision::Refuse { retry_after } = admit(&spec, &delay)
+    let decision = decide_admission(state.admission_account, &spec, &delay);
+    if let AdmissionDecision::Refuse { retry_after } = decision
         && !matches!(intake::is_accepted(state, code).await, Ok(true))
     {
+        state.metrics.count_shed(ShedCause::RefusedLate);
         info!("job refused", kv: {
             job = code.to_string(), queue = route.policy.route,
+            cause = ShedCause::RefusedLate.label(),
             delay_ms = delay.delay_for(spec.work()).as_millis() as u64, work_core_ms = spec.work(),
             age_ms = age.as_millis() as u64, retry_after_ms = retry_after.as_millis() as u64
         });
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -18,6 +18,7 @@
 mod progress;
 mod report;
 mod scheduler;
+mod shedding;
 mod spec;
 mod start_legs;
 mod store_health;
@@ -44,8 +45,8 @@
     ExclusionCause, PlacementFailures, PlacementRequest, ServingHeadroom, VmCapacity, choose_vm,
 };
 pub use policy::{
-    ConsolidationPolicy, LongRunningOrder, LongRunningStart, PacingPolicy, PolicyError, PolicySet,
-    StarvationPolicy,
+    AdmissionAccount, ConsolidationPolicy, JobOrder, LongRunningOrder, LongRunningStart,
+    PacingPolicy, PolicyError, PolicySet, PreemptionPolicy, StarvationPolicy,
 };
 pub use progress::{AttemptLocation, JobPhase, JobState, TaskState};
 pub use report::{
@@ -56,6 +57,7 @@
 pub use scheduler::{
     EvictionCause, ExclusionCounts, ExclusionSummary, JobEvent, LossCause, WaitingStep,
 };
+pub use shedding::{decide_admission, earliest_end};
 pub use spec::{CORE_LIMIT, JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
 pub use start_legs::{StartLeg, StartTracker};
 pub use store_health::{DeliveryOutcome, StoreHealth};
