Limit the connections, buffers and receive times of the hosted listeners

Clients that stop short of the end of a request made an entry run out of memory: the listeners limited neither connections nor buffers nor time. ConnectionLedger (turmeric-admission, pure) now decides which connections are closed or refused, and connections.rs serves HTTP/1 by it: callers, readiness checks, metrics and heartbeats. The limits are read from the platform's settings and the operators' configuration. Accepting waits 50 ms after a failure instead of retrying at once.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -174,12 +174,13 @@
         .ok_or_else(|| eyre!("the platform's settings have no address of the endpoint"))?;
     let client = CallClient::new();
     let metrics = Arc::new(ProcessMetrics::new());
-    tokio::spawn(serve_metrics(config.metrics, Arc::clone(&metrics)));
+    let clock = ProcessClock::new();
+    tokio::spawn(serve_metrics(config.metrics, Arc::clone(&metrics), clock));
     let state = Arc::new(AgentState {
         metrics,
         vm: boot.vm.clone(),
         zone: boot.zone.clone(),
-        clock: ProcessClock::new(),
+        clock,
         worker: WorkerCalls::new(client.clone(), endpoint),
         core: Mutex::new(AgentCore {
             policies: config.policies,
--- a/crates/turmeric-daemon/src/hosted/callers.rs
+++ b/crates/turmeric-daemon/src/hosted/callers.rs
@@ -11,9 +11,7 @@
 use spdlog::info;
 use tokio::sync::watch;
 use turmeric_jobs::{AdmissionDecision, DeliveryOutcome, JobCode, QueueDelay, StoreHealth, admit};
-use turmeric_platform::{
-    OperatorConfig, QueueRoute, StoreClient, read_job, write_phase, write_waiting,
-};
+use turmeric_platform::{QueueRoute, StoreClient, read_job, write_phase, write_waiting};
 
 use super::forward::{ForwardPlan, ForwardResult, LeaderForward, outcome_of};
 use super::intake::{self, WriteOutcome};
@@ -21,9 +19,6 @@
 use super::view::{LeaderView, OperatorView};
 use crate::clock::ProcessClock;
 
-/// Maximum size of a request body if the configuration sets no limit, in bytes.
-const BODY_LIMIT: usize = 256 << 10;
-
 /// Retry-After for requests that the store could not serve; its outages last seconds.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -90,7 +85,7 @@
 
 /// Returns the metric label of a method; the labels are fixed, since callers may send any
 /// method name.
-fn method_label(method: &Method) -> &'static str {
+pub(crate) fn method_label(method: &Method) -> &'static str {
     match *method {
         Method::GET => "get",
         Method::POST => "post",
@@ -122,9 +117,9 @@
         return respond(StatusCode::NOT_FOUND, String::new());
     };
     let may_forward = !LeaderForward::is_forwarded(&request);
-    let limit = body_limit(&config);
     let (parts, body) = request.into_parts();
-    let Ok(body) = to_bytes(body, limit).await else {
+    // The listener has received the whole body, within its limit.
+    let Ok(body) = to_bytes(body, usize::MAX).await else {
         return respond(StatusCode::PAYLOAD_TOO_LARGE, String::new());
     };
     let plan = ForwardPlan {
@@ -201,14 +196,6 @@
     end
 }
 
-fn body_limit(config: &OperatorConfig) -> usize {
-    if config.body_limit > 0 {
-        config.body_limit
-    } else {
-        BODY_LIMIT
-    }
-}
-
 fn respond(status: StatusCode, body: String) -> Response<Body> {
     let mut response = Response::new(Body::from(body));
     *response.status_mut() = status;
--- a/crates/turmeric-daemon/src/hosted/entry.rs
+++ b/crates/turmeric-daemon/src/hosted/entry.rs
@@ -13,11 +13,13 @@
 use spdlog::info;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use turmeric_admission::ConnectionBudget;
 use turmeric_jobs::{LeaderTimeouts, LeaseLimits, StoreHealth};
-use turmeric_platform::{BootSettings, CallClient, StoreClient};
+use turmeric_platform::{BootSettings, CallClient, RequestLimits, StoreClient};
+use turmeric_types::MemorySize;
 
 use super::ProcessSignals;
-use super::callers::{CallerState, serve_caller};
+use super::callers::{CallerState, method_label, serve_caller};
 use super::forward::LeaderForward;
 use super::leadership::{LeaderContext, run_election};
 use super::link::open_link;
@@ -26,6 +28,7 @@
 use super::view::{LeaderView, OperatorView};
 use crate::clock::ProcessClock;
 use crate::config::HostedConfig;
+use crate::connections::{ConnectionHub, accept, internal_budget, serve_limited};
 
 /// A lease is shorter by this than the longest that a worker accepts, so that the worker never
 /// shortens it.
@@ -47,6 +50,55 @@
 /// Maximum number of agent connections that wait for the leader's event loop.
 const LINK_BACKLOG: usize = 64;
 
+/// Memory of the buffers of callers' requests if the platform does not limit the memory.
+const DEFAULT_CALLER_MEMORY: MemorySize = MemorySize::new(64 << 20);
+
+/// Smallest memory of these buffers: enough for a few requests of the largest size, also where
+/// a quarter of the memory is less.
+const MIN_CALLER_MEMORY: MemorySize = MemorySize::new(1 << 20);
+
+/// Descriptors that callers' connections cannot use: 200 that the platform reserves, and 312
+/// for the store, agents, other entries and files.
+const RESERVED_DESCRIPTORS: u64 = 512;
+
+/// Minimum number of callers' connections.
+const MIN_CALLER_CONNECTIONS: usize = 64;
+
+/// Number of callers' connections if the platform does not limit the descriptors: a limit of
+/// 4,096 less the reserved ones.
+const DEFAULT_CALLER_CONNECTIONS: usize = 3584;
+
+/// Returns the budgets of the callers' connections.
+fn caller_budget(boot: &BootSettings) -> ConnectionBudget {
+    let quarter = |memory: MemorySize| MemorySize::new(memory.as_bytes() / 4);
+    let memory = boot.memory.map_or(DEFAULT_CALLER_MEMORY, quarter);
+    let connections = boot
+        .descriptors
+        .map_or(DEFAULT_CALLER_CONNECTIONS, |count| {
+            count.saturating_sub(RESERVED_DESCRIPTORS) as usize
+        });
+    ConnectionBudget {
+        memory: memory.max(MIN_CALLER_MEMORY),
+        connections: connections.max(MIN_CALLER_CONNECTIONS),
+    }
+}
+
+/// Creates the state of the callers' listener. Its limits are those of the configuration in
+/// force.
+fn caller_hub(budget: ConnectionBudget, callers: &CallerState) -> ConnectionHub {
+    let operators = callers.operators.clone();
+    let limits = move || {
+        let view = operators.borrow();
+        let config = view.config.as_ref();
+        config.map(|config| config.limits).unwrap_or_default()
+    };
+    let connections = Arc::clone(&callers.metrics.connections);
+    let metrics = Arc::clone(&callers.metrics);
+    ConnectionHub::new(budget, limits, callers.clock, connections).with_refusal_observer(
+        move |method, status| metrics.count_refusal(method_label(method), status.as_u16()),
+    )
+}
+
 /// Returns the limits of leases, which are the same for all processes of a deployment.
 pub(crate) fn lease_limits(boot: &BootSettings) -> LeaseLimits {
     LeaseLimits::new(boot.longest_lease.saturating_sub(LEASE_MARGIN))
@@ -68,7 +120,7 @@
     let (operator_sender, operators) = watch::channel(OperatorView::default());
     let (leader_sender, leader) = watch::channel(LeaderView::default());
     let metrics = Arc::new(ProcessMetrics::new());
-    tokio::spawn(serve_metrics(config.metrics, Arc::clone(&metrics)));
+    tokio::spawn(serve_metrics(config.metrics, Arc::clone(&metrics), clock));
     let callers = Arc::new(CallerState {
         metrics: Arc::clone(&metrics),
         store: store.clone(),
@@ -85,9 +137,7 @@
     let link_listener = listen(link_address).await?;
     tokio::spawn(async move {
         loop {
-            let Ok((stream, _)) = link_listener.accept().await else {
-                continue;
-            };
+            let stream = accept(&link_listener).await;
             if let Ok(link) = open_link(stream) {
                 // A leader serves the connection; any other entry closes it.
                 if link_sender.send(link).await.is_err() {
@@ -121,10 +171,11 @@
         let router = Router::new()
             .fallback(serve_caller)
             .with_state(Arc::clone(&callers));
-        let server = axum::serve(listener, router).with_graceful_shutdown(async {
+        let hub = caller_hub(caller_budget(&boot), &callers);
+        let server = serve_limited(listener, router, Arc::new(hub), async {
             let _ = stop.await;
         });
-        tokio::spawn(server.into_future())
+        tokio::spawn(server)
     };
     info!("entry is serving", kv: {
         callers = callers_address.to_string(), links = link_address.to_string()
@@ -150,6 +201,8 @@
 /// Serves the load balancer's checks of whether this entry accepts new connections.
 async fn serve_readiness(address: SocketAddr, callers: Arc<CallerState>) -> Result<()> {
     let listener = listen(address).await?;
+    let clock = callers.clock;
+    let connections = Arc::clone(&callers.metrics.connections);
     let ready = move || {
         let callers = Arc::clone(&callers);
         async move {
@@ -163,6 +216,17 @@
         }
     };
     let router = Router::new().fallback(get(ready));
-    tokio::spawn(axum::serve(listener, router).into_future());
+    let hub = ConnectionHub::new(
+        internal_budget(),
+        RequestLimits::default,
+        clock,
+        connections,
+    );
+    tokio::spawn(serve_limited(
+        listener,
+        router,
+        Arc::new(hub),
+        std::future::pending(),
+    ));
     Ok(())
 }
--- a/crates/turmeric-daemon/src/hosted/metrics.rs
+++ b/crates/turmeric-daemon/src/hosted/metrics.rs
@@ -18,6 +18,10 @@
 use prometheus_client::registry::{Registry, Unit};
 use spdlog::{info, warn};
 use tokio::net::TcpListener;
+use turmeric_platform::RequestLimits;
+
+use crate::clock::ProcessClock;
+use crate::connections::{ConnectionHub, ConnectionMetrics, internal_budget, serve_limited};
 
 /// Lowest bound of the histograms, in seconds; each of the twelve bounds is twice the one
 /// before, up to 4 s.
@@ -70,6 +74,8 @@
     pub(crate) held_attempts: Gauge<i64, AtomicI64>,
     /// Log lines that were dropped because their reader was too slow.
     pub(crate) lines_dropped: Counter<u64, AtomicU64>,
+    /// Connections of all listeners.
+    pub(crate) connections: Arc<ConnectionMetrics>,
 }
 
 fn histogram() -> Histogram {
@@ -93,8 +99,10 @@
             open_jobs: Gauge::default(),
             held_attempts: Gauge::default(),
             lines_dropped: crate::logging::dropped_lines(),
+            connections: Arc::default(),
         };
         metrics.register();
+        metrics.register_connections();
         metrics
     }
 
@@ -161,6 +169,25 @@
         );
     }
 
+    fn register_connections(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "connections_closed",
+            "Connections closed because of a limit, by cause",
+            self.connections.closed.clone(),
+        );
+        registry.register(
+            "open_connections",
+            "Open connections of all HTTP listeners",
+            self.connections.open.clone(),
+        );
+        registry.register(
+            "buffered_bytes",
+            "Memory of the buffers of these connections",
+            self.connections.buffered_bytes.clone(),
+        );
+    }
+
     /// Counts a response and records the time that it took.
     pub(crate) fn count_request(&self, method: &'static str, status: u16, elapsed: Duration) {
         let labels = RequestLabels {
@@ -171,6 +198,14 @@
         self.request_seconds.observe(elapsed.as_secs_f64());
     }
 
+    /// Counts a refusal of a request that was not received whole, which has no duration.
+    pub(crate) fn count_refusal(&self, method: &'static str, status: u16) {
+        let status = u32::from(status);
+        self.requests
+            .get_or_create(&RequestLabels { method, status })
+            .inc();
+    }
+
     /// Returns all metrics as text.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
@@ -190,7 +225,11 @@
 
 /// Serves the metrics on `address`. If the port is taken, logs that; the process then runs
 /// without metrics.
-pub(crate) async fn serve_metrics(address: SocketAddr, metrics: Arc<ProcessMetrics>) {
+pub(crate) async fn serve_metrics(
+    address: SocketAddr,
+    metrics: Arc<ProcessMetrics>,
+    clock: ProcessClock,
+) {
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
         Err(error) => {
@@ -201,6 +240,13 @@
         }
     };
     info!("serving metrics", kv: { address = address.to_string() });
+    let connections = Arc::clone(&metrics.connections);
+    let hub = ConnectionHub::new(
+        internal_budget(),
+        RequestLimits::default,
+        clock,
+        connections,
+    );
     let text = move || {
         let metrics = Arc::clone(&metrics);
         async move {
@@ -209,7 +255,5 @@
         }
     };
     let router = Router::new().route("/metrics", get(text));
-    if let Err(error) = axum::serve(listener, router).await {
-        warn!("serving the metrics failed", kv: { reason = error.to_string() });
-    }
+    serve_limited(listener, router, Arc::new(hub), std::future::pending()).await;
 }
--- a/crates/turmeric-daemon/src/hosted/registry.rs
+++ b/crates/turmeric-daemon/src/hosted/registry.rs
@@ -11,13 +11,20 @@
 use eyre::{Result, WrapErr};
 use spdlog::{info, warn};
 use tokio::net::TcpListener;
-use turmeric_platform::read_heartbeat;
+use turmeric_admission::ConnectionBudget;
+use turmeric_platform::{RequestLimits, read_heartbeat};
+use turmeric_types::MemorySize;
 
 use super::agent::AgentState;
+use crate::connections::{ConnectionHub, internal_budget, serve_limited};
 
 /// Maximum size of a heartbeat that the platform lets an endpoint send, in bytes.
 const HEARTBEAT_LIMIT: usize = 4 << 20;
 
+/// Memory of all heartbeats that are being received: one endpoint registers, and a heartbeat
+/// may arrive while an earlier one is processed.
+const HEARTBEAT_MEMORY: MemorySize = MemorySize::new(16 << 20);
+
 /// Accepts heartbeats and deregistrations on `address`.
 pub(crate) async fn serve_registry(address: SocketAddr, state: Arc<AgentState>) -> Result<()> {
     let listener = TcpListener::bind(address)
@@ -29,8 +36,23 @@
             put(handle_heartbeat).delete(handle_deregistration),
         )
         .layer(DefaultBodyLimit::max(HEARTBEAT_LIMIT))
-        .with_state(state);
-    tokio::spawn(axum::serve(listener, router).into_future());
+        .with_state(Arc::clone(&state));
+    let limits = || RequestLimits {
+        body_bytes: HEARTBEAT_LIMIT,
+        ..RequestLimits::default()
+    };
+    let budget = ConnectionBudget {
+        memory: HEARTBEAT_MEMORY,
+        ..internal_budget()
+    };
+    let connections = Arc::clone(&state.metrics.connections);
+    let hub = ConnectionHub::new(budget, limits, state.clock, connections);
+    tokio::spawn(serve_limited(
+        listener,
+        router,
+        Arc::new(hub),
+        std::future::pending(),
+    ));
     Ok(())
 }
 
--- a/crates/turmeric-daemon/src/lib.rs
+++ b/crates/turmeric-daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod agent;
 mod clock;
 mod config;
+mod connections;
 mod control;
 mod entry;
 mod headers;
