Derive the callers' budget in turmeric-admission and keep internal connections longer

The budget is a decision, so it moves to the pure crate, with a test. The readiness, metrics and heartbeat listeners closed idle connections after 15 s, which is shorter than the interval at which metrics are usually read; they now allow 120 s.

--- a/crates/turmeric-admission/src/connections.rs
+++ b/crates/turmeric-admission/src/connections.rs
@@ -41,6 +41,42 @@
     pub connections: usize,
 }
 
+/// Memory of callers' buffers if the process has no limit of memory.
+const DEFAULT_MEMORY: MemorySize = MemorySize::new(64 << 20);
+
+/// Smallest memory of callers' buffers: enough for a few requests of the largest size, also
+/// where a quarter of the memory is less.
+const MIN_MEMORY: MemorySize = MemorySize::new(1 << 20);
+
+/// Descriptors that callers' connections cannot use: 200 that the platform reserves, and 312
+/// for the store, agents, other entries and files.
+const RESERVED_DESCRIPTORS: u64 = 512;
+
+/// Smallest number of callers' connections.
+const MIN_CONNECTIONS: usize = 64;
+
+/// Number of callers' connections if the process has no limit of descriptors: 4,096 less the
+/// reserved ones.
+const DEFAULT_CONNECTIONS: usize = 3584;
+
+impl ConnectionBudget {
+    /// Returns the budget of callers' connections in a process with these limits.
+    ///
+    /// Addresses requests that together exceed the memory: the rest of the process, decoded
+    /// jobs and the connections themselves take what a quarter of it leaves.
+    pub fn new(memory: Option<MemorySize>, descriptors: Option<u64>) -> Self {
+        let quarter = |memory: MemorySize| MemorySize::new(memory.as_bytes() / 4);
+        let memory = memory.map_or(DEFAULT_MEMORY, quarter);
+        let connections = descriptors.map_or(DEFAULT_CONNECTIONS, |count| {
+            count.saturating_sub(RESERVED_DESCRIPTORS) as usize
+        });
+        Self {
+            memory: memory.max(MIN_MEMORY),
+            connections: connections.max(MIN_CONNECTIONS),
+        }
+    }
+}
+
 /// Timeouts of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionTimeouts {
--- a/crates/turmeric-admission/tests/connections.rs
+++ b/crates/turmeric-admission/tests/connections.rs
@@ -63,6 +63,23 @@
     victims.iter().map(|victim| victim.connection.0).collect()
 }
 
+/// A process must leave descriptors and memory for its own work, and serve callers also where
+/// its limits are small or missing.
+#[rstest]
+#[case(Some(160 << 20), Some(4096), 40 << 20, 3584)]
+#[case(Some(1 << 20), Some(100), 1 << 20, 64)]
+#[case(None, None, 64 << 20, 3584)]
+fn budget_is_derived_from_the_limits_of_the_process(
+    #[case] memory: Option<u64>,
+    #[case] descriptors: Option<u64>,
+    #[case] bytes: u64,
+    #[case] connections: usize,
+) {
+    let budget = ConnectionBudget::new(memory.map(MemorySize::new), descriptors);
+    assert_eq!(budget.memory, MemorySize::new(bytes));
+    assert_eq!(budget.connections, connections);
+}
+
 /// Bodies that stop short of their end must not fill the memory, and must not keep an ordinary
 /// caller from being served.
 #[rstest]
--- a/crates/turmeric-daemon/src/connections.rs
+++ b/crates/turmeric-daemon/src/connections.rs
@@ -77,6 +77,18 @@
     }
 }
 
+/// Idle time of a connection of such a listener: metrics are read at intervals up to a minute,
+/// over connections that are kept.
+const INTERNAL_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Returns the limits of a request at a listener that only processes of the deployment use.
+pub(crate) fn internal_limits() -> RequestLimits {
+    RequestLimits {
+        idle_timeout: INTERNAL_IDLE_TIMEOUT,
+        ..RequestLimits::default()
+    }
+}
+
 /// All causes, in the order of the counts in the log line.
 const CAUSES: [CloseCause; 7] = [
     CloseCause::ConnectionLimit,
--- a/crates/turmeric-daemon/src/hosted/entry.rs
+++ b/crates/turmeric-daemon/src/hosted/entry.rs
@@ -15,8 +15,7 @@
 use tokio::sync::{mpsc, watch};
 use turmeric_admission::ConnectionBudget;
 use turmeric_jobs::{LeaderTimeouts, LeaseLimits, StoreHealth};
-use turmeric_platform::{BootSettings, CallClient, RequestLimits, StoreClient};
-use turmeric_types::MemorySize;
+use turmeric_platform::{BootSettings, CallClient, StoreClient};
 
 use super::ProcessSignals;
 use super::callers::{CallerState, method_label, serve_caller};
@@ -28,7 +27,7 @@
 use super::view::{LeaderView, OperatorView};
 use crate::clock::ProcessClock;
 use crate::config::HostedConfig;
-use crate::connections::{ConnectionHub, accept, internal_budget, serve_limited};
+use crate::connections::{ConnectionHub, accept, internal_budget, internal_limits, serve_limited};
 
 /// A lease is shorter by this than the longest that a worker accepts, so that the worker never
 /// shortens it.
@@ -50,39 +49,6 @@
 /// Maximum number of agent connections that wait for the leader's event loop.
 const LINK_BACKLOG: usize = 64;
 
-/// Memory of the buffers of callers' requests if the platform does not limit the memory.
-const DEFAULT_CALLER_MEMORY: MemorySize = MemorySize::new(64 << 20);
-
-/// Smallest memory of these buffers: enough for a few requests of the largest size, also where
-/// a quarter of the memory is less.
-const MIN_CALLER_MEMORY: MemorySize = MemorySize::new(1 << 20);
-
-/// Descriptors that callers' connections cannot use: 200 that the platform reserves, and 312
-/// for the store, agents, other entries and files.
-const RESERVED_DESCRIPTORS: u64 = 512;
-
-/// Minimum number of callers' connections.
-const MIN_CALLER_CONNECTIONS: usize = 64;
-
-/// Number of callers' connections if the platform does not limit the descriptors: a limit of
-/// 4,096 less the reserved ones.
-const DEFAULT_CALLER_CONNECTIONS: usize = 3584;
-
-/// Returns the budgets of the callers' connections.
-fn caller_budget(boot: &BootSettings) -> ConnectionBudget {
-    let quarter = |memory: MemorySize| MemorySize::new(memory.as_bytes() / 4);
-    let memory = boot.memory.map_or(DEFAULT_CALLER_MEMORY, quarter);
-    let connections = boot
-        .descriptors
-        .map_or(DEFAULT_CALLER_CONNECTIONS, |count| {
-            count.saturating_sub(RESERVED_DESCRIPTORS) as usize
-        });
-    ConnectionBudget {
-        memory: memory.max(MIN_CALLER_MEMORY),
-        connections: connections.max(MIN_CALLER_CONNECTIONS),
-    }
-}
-
 /// Creates the state of the callers' listener. Its limits are those of the configuration in
 /// force.
 fn caller_hub(budget: ConnectionBudget, callers: &CallerState) -> ConnectionHub {
@@ -171,7 +137,10 @@
         let router = Router::new()
             .fallback(serve_caller)
             .with_state(Arc::clone(&callers));
-        let hub = caller_hub(caller_budget(&boot), &callers);
+        let hub = caller_hub(
+            ConnectionBudget::new(boot.memory, boot.descriptors),
+            &callers,
+        );
         let server = serve_limited(listener, router, Arc::new(hub), async {
             let _ = stop.await;
         });
@@ -216,12 +185,7 @@
         }
     };
     let router = Router::new().fallback(get(ready));
-    let hub = ConnectionHub::new(
-        internal_budget(),
-        RequestLimits::default,
-        clock,
-        connections,
-    );
+    let hub = ConnectionHub::new(internal_budget(), internal_limits, clock, connections);
     tokio::spawn(serve_limited(
         listener,
         router,
--- a/crates/turmeric-daemon/src/hosted/metrics.rs
+++ b/crates/turmeric-daemon/src/hosted/metrics.rs
@@ -18,10 +18,11 @@
 use prometheus_client::registry::{Registry, Unit};
 use spdlog::{info, warn};
 use tokio::net::TcpListener;
-use turmeric_platform::RequestLimits;
 
 use crate::clock::ProcessClock;
-use crate::connections::{ConnectionHub, ConnectionMetrics, internal_budget, serve_limited};
+use crate::connections::{
+    ConnectionHub, ConnectionMetrics, internal_budget, internal_limits, serve_limited,
+};
 
 /// Lowest bound of the histograms, in seconds; each of the twelve bounds is twice the one
 /// before, up to 4 s.
@@ -241,12 +242,7 @@
     };
     info!("serving metrics", kv: { address = address.to_string() });
     let connections = Arc::clone(&metrics.connections);
-    let hub = ConnectionHub::new(
-        internal_budget(),
-        RequestLimits::default,
-        clock,
-        connections,
-    );
+    let hub = ConnectionHub::new(internal_budget(), internal_limits, clock, connections);
     let text = move || {
         let metrics = Arc::clone(&metrics);
         async move {
--- a/crates/turmeric-daemon/src/hosted/registry.rs
+++ b/crates/turmeric-daemon/src/hosted/registry.rs
@@ -16,7 +16,7 @@
 use turmeric_types::MemorySize;
 
 use super::agent::AgentState;
-use crate::connections::{ConnectionHub, internal_budget, serve_limited};
+use crate::connections::{ConnectionHub, internal_budget, internal_limits, serve_limited};
 
 /// Maximum size of a heartbeat that the platform lets an endpoint send, in bytes.
 const HEARTBEAT_LIMIT: usize = 4 << 20;
@@ -39,7 +39,7 @@
         .with_state(Arc::clone(&state));
     let limits = || RequestLimits {
         body_bytes: HEARTBEAT_LIMIT,
-        ..RequestLimits::default()
+        ..internal_limits()
     };
     let budget = ConnectionBudget {
         memory: HEARTBEAT_MEMORY,
