--- a/crates/turmeric-daemon/src/connections.rs
+++ b/crates/turmeric-daemon/src/connections.rs
@@ -210,6 +210,8 @@
     lingering: Mutex<Option<TcpStream>>,
     /// The router has returned a response that is not yet sent.
     is_answered: AtomicBool,
+    /// The head of a request was received and its response is not yet sent.
+    is_request_open: AtomicBool,
 }
 
 /// A body that is being received, in segments.
@@ -333,6 +335,7 @@
                 body: Mutex::new(None),
                 lingering: Mutex::new(None),
                 is_answered: AtomicBool::new(false),
+                is_request_open: AtomicBool::new(false),
             });
             let victims = state.ledger.open(connection.id, timeouts, now);
             let is_refused = victims.iter().any(|it| it.connection == connection.id);
@@ -544,6 +547,7 @@
         request: Request<Incoming>,
         router: TowerToHyperService<Router>,
     ) -> Result<Response<Body>, std::convert::Infallible> {
+        self.is_request_open.store(true, Ordering::Relaxed);
         let (parts, body) = request.into_parts();
         let body = if body.is_end_stream() {
             self.begin(ConnectionPhase::Serving);
@@ -640,7 +644,6 @@
             let needed = self.head_bytes + READ_STEP;
             ((), self.charge_read(state, needed, now))
         });
-        self.has_read = false;
     }
 
     fn charge_read(
@@ -665,6 +668,8 @@
     /// Records the end of a response.
     fn record_answer_end(&self) {
         if self.connection.is_answered.swap(false, Ordering::Relaxed) {
+            let is_request_open = &self.connection.is_request_open;
+            is_request_open.store(false, Ordering::Relaxed);
             self.connection.begin(ConnectionPhase::Idle);
         }
     }
@@ -683,7 +688,10 @@
         if count > 0 {
             this.record_read(count);
         } else if poll.is_pending() && this.has_read {
-            this.record_wait();
+            this.has_read = false;
+            if !this.connection.is_request_open.load(Ordering::Relaxed) {
+                this.record_wait();
+            }
         }
         poll
     }
