--- a/crates/turmeric-ctl/src/command.rs
+++ b/crates/turmeric-ctl/src/command.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod completions;
+mod config;
 mod edit;
 mod experiment;
 mod explain;
@@ -35,7 +36,8 @@
         .version(env!("CARGO_PKG_VERSION"))
         .about("Operate turmericlb")
         .after_help(
-            "Exit codes: 0 done, 1 no entry answers, 2 bad arguments, 3 refused, 4 timed out.\n\n\
+            "Exit codes: 0 done, 1 no entry answers, 2 bad arguments, 3 refused, 4 timed out.\n\
+             Those of 'config check' are in its help.\n\n\
              Examples:\n  \
              turmericctl --entries 10.0.0.5:7400,10.0.0.6:7400 status\n  \
              turmericctl zone out morava morava-b --author ana\n  \
@@ -69,6 +71,7 @@
         .subcommand(learned::build())
         .subcommand(timeline::build())
         .subcommand(explain::build())
+        .subcommand(config::build())
         .subcommand(completions::build())
 }
 
@@ -87,6 +90,7 @@
         Some(("tasks", matches)) => tasks::run(&context, matches).await,
         Some(("timeline", matches)) => timeline::run(&context, matches).await,
         Some(("explain", matches)) => explain::run(&context, matches),
+        Some(("config", matches)) => config::run(&context, matches),
         Some(("completions", matches)) => completions::run(matches),
         _ => Ok(()),
     }
--- a/crates/turmeric-ctl/src/error.rs
+++ b/crates/turmeric-ctl/src/error.rs
@@ -26,14 +26,24 @@
         /// What is still missing.
         message: String,
     },
+    /// A check has findings.
+    Findings {
+        /// How many of each level.
+        message: String,
+    },
+    /// A file cannot be checked.
+    UnusableInput {
+        /// Which file, and why.
+        message: String,
+    },
 }
 
 impl CommandError {
     /// Returns the documented exit code.
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
-            Self::Unreachable { .. } => 1,
-            Self::Arguments(_) => 2,
+            Self::Unreachable { .. } | Self::Findings { .. } => 1,
+            Self::Arguments(_) | Self::UnusableInput { .. } => 2,
             Self::Refused { .. } => 3,
             Self::TimedOut { .. } => 4,
         }
@@ -49,6 +59,9 @@
                 formatter,
                 "{message}\n  help: name entries that run with --entries or TURMERIC_ENTRIES"
             ),
+            Self::Findings { message } | Self::UnusableInput { message } => {
+                formatter.write_str(message)
+            }
             Self::TimedOut { message } => write!(formatter, "timed out: {message}"),
         }
     }
