--- a/crates/turmeric-daemon/src/connections.rs
+++ b/crates/turmeric-daemon/src/connections.rs
@@ -43,6 +43,10 @@
 /// Time between two checks of the connections' deadlines.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Added to the timeouts of a connection: what a client sends just within a limit is still on its
+/// way, and a connection that is closed then loses the request.
+const TIMEOUT_SLACK: Duration = Duration::from_secs(1);
+
 /// Time for a client to read a last response before its connection is closed; with the interval
 /// of the checks at most a second.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(750);
@@ -150,11 +154,18 @@
         self.unlogged().counts[cause as usize] += 1;
     }
 
+    /// Returns whether connections were closed since the previous log line.
+    fn has_unlogged(&self) -> bool {
+        self.unlogged().counts.iter().any(|count| *count > 0)
+    }
+
     /// Logs the counts since the previous line, if there are any and that line is a second old.
     fn log_if_due(&self, now: MonoTime) {
+        if !self.has_unlogged() {
+            return;
+        }
         let mut unlogged = self.unlogged();
-        let is_empty = unlogged.counts.iter().all(|count| *count == 0);
-        if is_empty || now.since(unlogged.logged_at) < LOG_INTERVAL {
+        if now.since(unlogged.logged_at) < LOG_INTERVAL {
             return;
         }
         let counts = std::mem::take(&mut unlogged.counts);
@@ -188,6 +199,8 @@
     refusal_observer: Option<RefusalObserver>,
     clock: ProcessClock,
     metrics: Arc<ConnectionMetrics>,
+    /// Notified when a connection is opened.
+    opened: Notify,
 }
 
 struct HubState {
@@ -261,8 +274,8 @@
 
 fn timeouts(limits: &RequestLimits) -> ConnectionTimeouts {
     ConnectionTimeouts {
-        header: limits.header_timeout,
-        idle: limits.idle_timeout,
+        header: limits.header_timeout.saturating_add(TIMEOUT_SLACK),
+        idle: limits.idle_timeout.saturating_add(TIMEOUT_SLACK),
     }
 }
 
@@ -284,6 +297,7 @@
             refusal_observer: None,
             clock,
             metrics,
+            opened: Notify::new(),
         }
     }
 
@@ -349,12 +363,20 @@
         })
     }
 
+    /// Returns whether no connection is open.
+    fn is_unused(&self) -> bool {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.ledger.connections() == 0
+    }
+
     /// Closes connections whose deadline has passed, until the future is dropped.
     async fn sweep(&self) {
-        let mut ticks = tokio::time::interval(SWEEP_INTERVAL);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
+            // An idle process is not woken up.
+            if self.is_unused() && !self.metrics.has_unlogged() {
+                self.opened.notified().await;
+            }
+            tokio::time::sleep(SWEEP_INTERVAL).await;
             self.update(|state, now| {
                 let victims = state.ledger.take_overdue(now, now.after(LINGER_TIMEOUT));
                 ((), victims)
@@ -788,6 +810,7 @@
                 debug!("cannot set TCP_NODELAY on an accepted connection: {error}");
             }
             if let Some(connection) = hub.open() {
+                hub.opened.notify_one();
                 let router = TowerToHyperService::new(router.clone());
                 let http = open_http(stream, &connection, router, shutdown.watcher());
                 tokio::spawn(serve_connection(http, connection));
