Bound the memory of decoded jobs that an entry is storing

Cause: a body is charged by its bytes, but 6 KB of empty steps take 0.5 MB when they are decoded, and a job is held while the store is written, up to 0.9 s when the store is slow (by reading). Change: a job's memory is estimated after decoding; above half of the callers' byte budget the job is refused with 503, which is true, as it was not stored. An ordinary job takes under 4 KiB.

--- a/crates/turmeric-daemon/src/hosted/callers.rs
+++ b/crates/turmeric-daemon/src/hosted/callers.rs
@@ -9,7 +9,7 @@
 use axum::extract::State;
 use axum::http::{Method, Request, Response, StatusCode, header};
 use spdlog::info;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use turmeric_jobs::{
     AdmissionAccount, AdmissionDecision, DeliveryOutcome, JobCode, QueueDelay, StartLeg,
     StoreHealth, decide_admission,
@@ -44,6 +44,8 @@
     pub(crate) address: SocketAddr,
     /// Which waiting work decides on the admission of jobs.
     pub(crate) admission_account: AdmissionAccount,
+    /// Memory that jobs may still take while they are stored, in KiB.
+    pub(crate) job_memory: Semaphore,
     /// Whether the store answers this entry, by its last calls.
     pub(crate) store_health: Mutex<StoreHealth>,
 }
@@ -265,6 +267,14 @@
             return respond(StatusCode::BAD_REQUEST, String::new());
         }
     };
+    let memory = spec.memory().as_bytes().div_ceil(1 << 10) as u32;
+    let Ok(_permit) = state.job_memory.try_acquire_many(memory) else {
+        info!("job refused", kv: {
+            job = code.to_string(), reason = "the jobs that are being stored take too much memory",
+            memory_kib = memory
+        });
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, STORE_RETRY_AFTER);
+    };
     let (delay, age) = {
         let view = state.leader.borrow();
         let queue = view.queues.get(&route.policy.route);
--- a/crates/turmeric-daemon/src/hosted/entry.rs
+++ b/crates/turmeric-daemon/src/hosted/entry.rs
@@ -12,7 +12,7 @@
 use eyre::{Result, WrapErr, eyre};
 use spdlog::info;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use turmeric_admission::ConnectionBudget;
 use turmeric_jobs::{LeaderTimeouts, LeaseLimits, StoreHealth};
 use turmeric_platform::{BootSettings, CallClient, StoreClient};
@@ -87,6 +87,7 @@
     let (leader_sender, leader) = watch::channel(LeaderView::default());
     let metrics = Arc::new(ProcessMetrics::new());
     tokio::spawn(serve_metrics(config.metrics, Arc::clone(&metrics), clock));
+    let budget = ConnectionBudget::new(boot.memory, boot.descriptors);
     let callers = Arc::new(CallerState {
         metrics: Arc::clone(&metrics),
         store: store.clone(),
@@ -97,6 +98,8 @@
         forward: LeaderForward::new(),
         address: callers_address,
         admission_account: config.policies.admission_account,
+        // Half as much as the buffers of requests, in KiB.
+        job_memory: Semaphore::new((budget.memory.as_bytes() >> 11) as usize),
         store_health: Mutex::new(StoreHealth::new()),
     });
     tokio::spawn(follow_operators(store.clone(), operator_sender));
@@ -138,10 +141,7 @@
         let router = Router::new()
             .fallback(serve_caller)
             .with_state(Arc::clone(&callers));
-        let hub = caller_hub(
-            ConnectionBudget::new(boot.memory, boot.descriptors),
-            &callers,
-        );
+        let hub = caller_hub(budget, &callers);
         let server = serve_limited(listener, router, Arc::new(hub), async {
             let _ = stop.await;
         });
--- a/crates/turmeric-jobs/src/spec.rs
+++ b/crates/turmeric-jobs/src/spec.rs
@@ -266,6 +266,22 @@
             .sum()
     }
 
+    /// Returns about how much memory the job takes while it is stored.
+    ///
+    /// Load pattern: clients send many small bodies of thousands of empty steps at once, which
+    /// take a hundred times as much memory when they are decoded.
+    pub fn memory(&self) -> MemorySize {
+        /// The job is held decoded, as a message and encoded.
+        const COPIES: usize = 3;
+        let text = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        let steps = self.steps.iter().map(|step| {
+            let texts = text(&step.label) + text(&step.rack) + text(&step.image);
+            size_of::<StepSpec>() + size_of_val(step.after.as_slice()) + texts
+        });
+        let size = COPIES * (self.text.len() + steps.sum::<usize>());
+        MemorySize::new(size as u64)
+    }
+
     /// Encodes the job for the store.
     pub fn write(&self) -> v1::JobIntake {
         let repeat = self.repeat;
--- a/crates/turmeric-jobs/tests/sizes.rs
+++ b/crates/turmeric-jobs/tests/sizes.rs
@@ -157,3 +157,19 @@
     }
     assert_eq!(started.len(), TASKS as usize);
 }
+
+/// Guards against jobs of few bytes that take much memory at an entry: thousands of empty steps
+/// in 6 KB, or long lists of earlier steps.
+#[test]
+fn memory_of_a_job_counts_its_steps_and_their_lists() {
+    let ordinary = spec("text").memory();
+    assert!(ordinary < MemorySize::new(4 << 10), "{ordinary}");
+    let mut many_steps = spec("text");
+    many_steps.steps.resize(2_048, StepSpec::default());
+    assert!(many_steps.memory() > MemorySize::new(1 << 20));
+    let mut long_list = spec("text");
+    long_list.steps[0].after = vec![0; 100_000];
+    assert!(long_list.memory() > MemorySize::new(1 << 20));
+    let text = "t".repeat(200_000);
+    assert!(spec(&text).memory() > MemorySize::new(400_000));
+}
