--- a/crates/turmeric-daemon/src/connections.rs
+++ b/crates/turmeric-daemon/src/connections.rs
@@ -116,10 +116,10 @@
     }
 }
 
-/// Label of the counter of closed connections.
+/// Cause of an event, or of a wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct CauseLabels {
-    cause: &'static str,
+    pub(crate) cause: &'static str,
 }
 
 /// Metrics of all listeners of a process, and the log line about closed connections.
--- a/crates/turmeric-daemon/src/hosted/metrics.rs
+++ b/crates/turmeric-daemon/src/hosted/metrics.rs
@@ -22,7 +22,7 @@
 
 use crate::clock::ProcessClock;
 use crate::connections::{
-    ConnectionHub, ConnectionMetrics, internal_budget, internal_limits, serve_limited,
+    CauseLabels, ConnectionHub, ConnectionMetrics, internal_budget, internal_limits, serve_limited,
 };
 
 /// Lowest bound of the histograms, in seconds; each of the twelve bounds is twice the one
@@ -52,12 +52,6 @@
     pub(crate) outcome: &'static str,
 }
 
-/// Cause of an event, or of a wait.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub(crate) struct CauseLabels {
-    pub(crate) cause: &'static str,
-}
-
 /// Leg of a job's way to its first start.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct LegLabels {
--- a/crates/turmeric-jobs/src/scheduler/preempt.rs
+++ b/crates/turmeric-jobs/src/scheduler/preempt.rs
@@ -45,7 +45,7 @@
 }
 
 /// Waiting tasks of one step that fit no VM.
-struct WaitingStep<'a> {
+struct UnplacedStep<'a> {
     job: &'a JobState,
     step: &'a StepSpec,
     tasks: Vec<TaskName>,
@@ -205,7 +205,7 @@
 
     /// Returns the waiting steps of jobs in time, in the order in which they are placed. The
     /// members of a gang need several VMs at once and are left out.
-    fn waiting_in_time(&self, wall: WallTime) -> Vec<WaitingStep<'_>> {
+    fn waiting_in_time(&self, wall: WallTime) -> Vec<UnplacedStep<'_>> {
         let mut steps = Vec::new();
         for code in self.jobs_by_rank(wall) {
             let Some(job) = self.jobs.get(&code) else {
@@ -229,7 +229,7 @@
                     let waiting = tasks.filter(|(_, state)| state.is_waiting());
                     let tasks: Vec<TaskName> = waiting.map(|(name, _)| *name).collect();
                     if !step.is_gang && !tasks.is_empty() && job.is_ready(&first) {
-                        steps.push(WaitingStep { job, step, tasks });
+                        steps.push(UnplacedStep { job, step, tasks });
                     }
                     if steps.len() >= STEP_LIMIT {
                         return steps;
