--- /dev/null
+++ b/review/standin-2/src/cases.rs
@@ -0,0 +1,4 @@
+//! The cases, one module each.
+
+pub mod large_progress;
+pub mod many_ends;
