Review case 8: scheduled submissions end the leader for good

1,400 legal submissions of 600 occurrences each take more memory at the leader than its machine has. It is killed, takes over again, loads them and is killed again, so that ordinary accepted submissions never run (rule LOST).

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -2,3 +2,4 @@
 
 pub mod large_progress;
 pub mod many_ends;
+pub mod scheduled;
--- a/review/standin-2/src/deploy.rs
+++ b/review/standin-2/src/deploy.rs
@@ -101,16 +101,6 @@
         }
     }
 
-    /// Sends a signal by name.
-    pub fn signal(&self, name: &str) {
-        if let Some(id) = self.id() {
-            let _ = Command::new("kill")
-                .arg(format!("-{name}"))
-                .arg(id.to_string())
-                .status();
-        }
-    }
-
     /// Returns whether the process has ended by itself.
     pub fn has_exited(&mut self) -> bool {
         let has_exited = self
