--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -1,5 +1,7 @@
 //! The cases, one module each.
 
+pub mod forgotten;
+mod judge;
 pub mod large_progress;
 pub mod many_ends;
 pub mod scheduled;
--- a/review/standin-2/src/deploy.rs
+++ b/review/standin-2/src/deploy.rs
@@ -35,6 +35,8 @@
     /// `memory_mb` of an entry.
     pub entry_mb: u64,
     pub max_attempts: u64,
+    /// `status_s` of the settings.
+    pub status_s: u64,
 }
 
 impl Default for Plan {
@@ -48,6 +50,7 @@
             restore_ms: 600,
             entry_mb: 260,
             max_attempts: 3,
+            status_s: 120,
         }
     }
 }
@@ -229,7 +232,7 @@
                 "data_directory": null, "heartbeat_interval_ms": 1500, "orders": "call",
                 "bounds": {"contact_ms": 3000, "acknowledge_ms": 4000, "grace_s": 6,
                     "max_hold_ms": deployment.plan.max_hold_ms, "stop_timeout_ms": 900,
-                    "cancel_ms": 3000, "visible_ms": 3000, "finish_s": 14, "status_s": 120,
+                    "cancel_ms": 3000, "visible_ms": 3000, "finish_s": 14, "status_s": deployment.plan.status_s,
                     "require_fencing": true},
                 "platform": {"address": store_address, "form": "table", "writes_per_s": 800,
                     "reads_per_s": 2000, "transaction_ms": 3.0, "partition_writes_s": 300,
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -129,6 +129,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Discards the history; a feed that is behind gets 410.
+    pub fn discard_history(&self) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.version += 1;
+        inner.dropped = inner.version;
+        inner.history.clear();
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
     /// Returns how many calls were refused, by reason.
     pub fn refused(&self) -> BTreeMap<String, u64> {
         self.inner.lock().unwrap().refused.clone()
