--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -50,6 +50,8 @@
 struct Inner {
     token: u64,
     deadline: u64,
+    /// The last deadline that has passed.
+    lapsed: u64,
     runs: BTreeMap<String, Run>,
     last: BTreeMap<String, u64>,
     ends: BTreeMap<u64, Value>,
@@ -163,7 +165,9 @@
         for (task, how, saved) in over {
             inner.end(&task, how, &saved);
         }
-        if is_lapsed && has_ended {
+        // A lease lapses also where nothing runs under it.
+        if is_lapsed && inner.deadline > inner.lapsed {
+            inner.lapsed = inner.deadline;
             inner.note(json!({"lapse": true}));
         }
         drop(inner);
@@ -389,6 +393,7 @@
     let mut inner = Inner {
         token: 0,
         deadline: 0,
+        lapsed: 0,
         runs: BTreeMap::new(),
         last: BTreeMap::new(),
         ends: BTreeMap::new(),
