Review case 12: one crash under a large job keeps later jobs from starting

Adds a case for an entry of KNOWN-RED.txt: one of seven executors crashes while the tasks of a job of 600 small ones are started on it. Hundreds of them become suspects, each of which closes a VM to all other tasks for 300 ms, and whatever ranks behind their job waits for the last of them. The stand-in of an executor can now also close its connections when it crashes.

--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -30,6 +30,8 @@
 /// What a handler does with a request.
 pub enum Reply {
     Answer(u16, String),
+    /// The connection is closed without a response.
+    Close,
     /// The response is lost, and nothing further is delivered on the connection.
     Silence,
 }
@@ -61,6 +63,7 @@
                     return;
                 }
             }
+            Reply::Close => return,
             Reply::Silence => {
                 // The connection stays open until its peer closes it.
                 let mut rest = Vec::new();
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -11,6 +11,7 @@
 mod record;
 mod silent;
 mod store;
+mod suspects;
 mod waiting;
 mod worker;
 
@@ -39,6 +40,7 @@
         "cancel" => cancel::play(&scratch, &record, has_trouble),
         "lasting" => lasting::play(&scratch, &record, has_trouble),
         "silent" => silent::play(&scratch, &record, has_trouble),
+        "suspects" => suspects::play(&scratch, &record, has_trouble),
         "waiting" => waiting::play(&scratch, &record, has_trouble),
         other => Err(std::io::Error::other(format!("unknown case {other}"))),
     };
--- a/review/standin-3/waiting.rs
+++ b/review/standin-3/waiting.rs
@@ -34,7 +34,7 @@
         Deployment::start(directory, Arc::clone(record), EXECUTORS, EXECUTOR_CPU, store)?;
     thread::sleep(Duration::from_secs(4));
     if has_trouble && let Some(worker) = deployment.workers.last() {
-        worker.crash();
+        worker.crash(true);
     }
     let accepted = Mutex::new(Vec::new());
     thread::scope(|scope| {
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -40,7 +40,9 @@
 
 #[derive(Default)]
 struct State {
-    /// Without power: it answers nothing and sends nothing.
+    /// It does not run: it answers nothing and sends nothing.
+    is_down: bool,
+    /// It is without power: connections to it hang. Else they are closed.
     is_dark: bool,
     born: u64,
     /// Start of this incarnation's clock.
@@ -114,22 +116,37 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Crashes: all that runs is lost, and nothing is answered any more.
-    pub fn crash(&self) {
+    /// Crashes: all that runs is lost, and nothing is answered any more. Connections hang if the
+    /// executor is without power, and are closed if not.
+    pub fn crash(&self, is_dark: bool) {
         let mut state = self.state();
         for (task, run) in &state.running {
             let number = run.number;
             self.record.note(format!("lost {task} run {number} on {}: it crashed", self.id));
         }
         *state = State {
-            is_dark: true,
+            is_down: true,
+            is_dark,
             born: state.born,
             ..State::default()
         };
         drop(state);
+        self.ended.notify_all();
         self.record.note(format!("executor {} crashes", self.id));
     }
 
+    /// Starts again under the same identifier.
+    pub fn restart(&self) {
+        let mut state = self.state();
+        *state = State {
+            born: unix_millis().max(state.born + 1),
+            clock: Some(Instant::now()),
+            ..State::default()
+        };
+        drop(state);
+        self.record.note(format!("executor {} is back", self.id));
+    }
+
     /// Lets the first run of a job's tasks fail.
     pub fn fail_one(&self, job: &str) {
         let mut state = self.state();
@@ -174,7 +191,7 @@
                     ("sequence", number(state.sequence)),
                     ("born", number(state.born)),
                 ]);
-                (!state.is_dark).then(|| body.write())
+                (!state.is_down).then(|| body.write())
             };
             if let Some(body) = body {
                 let path = format!("/executors/{}", self.id);
@@ -188,8 +205,8 @@
     }
 
     fn handle(&self, request: &Request) -> Reply {
-        if self.state().is_dark {
-            return Reply::Silence;
+        if let Some(reply) = self.state().lost_reply() {
+            return reply;
         }
         let expected = request.header("x-expected-instance");
         if expected.is_some_and(|expected| expected != self.id) {
@@ -206,8 +223,8 @@
             _ => (404, self.answer([])),
         };
         // An answer of an executor that has crashed meanwhile is not sent.
-        if self.state().is_dark {
-            return Reply::Silence;
+        if let Some(reply) = self.state().lost_reply() {
+            return reply;
         }
         Reply::Answer(status, body)
     }
@@ -285,7 +302,7 @@
         state.renew(body);
         loop {
             let left = until.saturating_duration_since(Instant::now());
-            if !state.ends.is_empty() || left.is_zero() || state.is_dark {
+            if !state.ends.is_empty() || left.is_zero() || state.is_down {
                 break;
             }
             let waited = self.ended.wait_timeout(state, left);
@@ -337,7 +354,7 @@
 
     fn end_due(&self) {
         let mut state = self.state();
-        if state.is_dark {
+        if state.is_down {
             return;
         }
         let has_lapsed = state.clock_ms() >= state.lease_until;
@@ -357,6 +374,15 @@
 }
 
 impl State {
+    /// Returns what becomes of a call to an executor that does not run.
+    fn lost_reply(&self) -> Option<Reply> {
+        match (self.is_down, self.is_dark) {
+            (false, _) => None,
+            (true, false) => Some(Reply::Close),
+            (true, true) => Some(Reply::Silence),
+        }
+    }
+
     fn clock_ms(&self) -> u64 {
         self.clock.map_or(0, |start| start.elapsed().as_millis() as u64)
     }
