--- a/review/standin-3/cancel.rs
+++ b/review/standin-3/cancel.rs
@@ -43,15 +43,21 @@
     let is_losing = Arc::new(AtomicBool::new(false));
     let random = Arc::new(Mutex::new(Random::new(SEED)));
     let fate = {
-        let (is_losing, random, record) =
-            (Arc::clone(&is_losing), Arc::clone(&random), Arc::clone(record));
+        let (is_losing, random, record) = (
+            Arc::clone(&is_losing),
+            Arc::clone(&random),
+            Arc::clone(record),
+        );
         move |_: &str| {
             let mut random = random.lock().expect("no thread panics");
             if !is_losing.load(Ordering::Relaxed) || random.below(100) >= LOST_PERCENT {
                 return Fate::Answered;
             }
             let delay = Duration::from_millis(LATE_MS.0 + random.below(LATE_MS.1));
-            record.note(format!("the store does a write {} ms later", delay.as_millis()));
+            record.note(format!(
+                "the store does a write {} ms later",
+                delay.as_millis()
+            ));
             Fate::DoneLate(delay)
         }
     };
@@ -107,7 +113,9 @@
 /// Hands a job in. Its caller cancels it if it gets no answer, and so does every tenth other one.
 fn hand_in(deployment: &Deployment, number: u64) -> Option<Cancelled> {
     let job = format!("{:016x}", 0xa000_0000_0000_0000_u64 + number);
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let due = now.as_millis() as u64 + DUE_AFTER_MS;
     let body = format!(
         r#"{{"task_spec":"work=500 cpu=100","steps":[{{"count":1,"cpu":100,"requested_memory_mb":10,"estimated_ms":500}}],"repetitions":1,"first_run_ms":{due},"interval_ms":1000}}"#
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -129,7 +129,10 @@
     let mut at = 0;
     while at < bytes.len() {
         let code = (bytes[at] == b'%').then(|| value.get(at + 1..at + 3));
-        match code.flatten().and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
+        match code
+            .flatten()
+            .and_then(|hex| u8::from_str_radix(hex, 16).ok())
+        {
             Some(byte) => {
                 out.push(byte);
                 at += 3;
--- a/review/standin-3/lasting.rs
+++ b/review/standin-3/lasting.rs
@@ -50,8 +50,13 @@
 
 pub fn play(directory: &Path, record: &Arc<Record>, has_trouble: bool) -> std::io::Result<Verdict> {
     let store = |_: &str| Fate::Answered;
-    let deployment =
-        Deployment::start(directory, Arc::clone(record), EXECUTORS, EXECUTOR_CPU, store)?;
+    let deployment = Deployment::start(
+        directory,
+        Arc::clone(record),
+        EXECUTORS,
+        EXECUTOR_CPU,
+        store,
+    )?;
     thread::sleep(Duration::from_secs(2));
     let executors = u64::from(EXECUTORS);
     for number in 0..EARLY_JOBS {
@@ -65,7 +70,11 @@
         }
     }
     thread::sleep(Duration::from_secs(4));
-    let running: usize = deployment.workers.iter().map(|worker| worker.running()).sum();
+    let running: usize = deployment
+        .workers
+        .iter()
+        .map(|worker| worker.running())
+        .sum();
     if running as u64 != EARLY_JOBS * 2 * executors {
         return Ok(Verdict::NotPlayed("not all tasks were started".to_owned()));
     }
@@ -85,17 +94,25 @@
             r#"{{"task_spec":"lasts cpu={TASK_CPU}","steps":[{{"count":1,"cpu":{TASK_CPU},"requested_memory_mb":100,"estimated_ms":1000,"long_running":true}}]}}"#
         );
         if deployment.submit(entry, job, &body) != Some(200) {
-            return Ok(Verdict::NotPlayed("a later job was not accepted".to_owned()));
+            return Ok(Verdict::NotPlayed(
+                "a later job was not accepted".to_owned(),
+            ));
         }
         thread::sleep(SUBMIT_INTERVAL);
     }
     let ending = "d000000000000000";
     let body = r#"{"task_spec":"work=500 cpu=500","steps":[{"count":1,"cpu":500,"requested_memory_mb":100,"estimated_ms":500}]}"#;
     if deployment.submit(0, ending, body) != Some(200) {
-        return Ok(Verdict::NotPlayed("the last job was not accepted".to_owned()));
+        return Ok(Verdict::NotPlayed(
+            "the last job was not accepted".to_owned(),
+        ));
     }
     thread::sleep(FINISH + IDLE);
-    let room: Vec<String> = deployment.workers.iter().map(|worker| worker.room()).collect();
+    let room: Vec<String> = deployment
+        .workers
+        .iter()
+        .map(|worker| worker.room())
+        .collect();
     record.note(format!("free: {}", room.join(", ")));
     let mut broken = Vec::new();
     for job in late.iter().map(String::as_str).chain([ending]) {
--- a/review/standin-3/platform.rs
+++ b/review/standin-3/platform.rs
@@ -82,7 +82,12 @@
 /// own address, as on the platform, so that all have the same ports.
 fn vm_address(number: u8) -> IpAddr {
     let id = std::process::id();
-    IpAddr::V4(Ipv4Addr::new(127, 20 + (id % 200) as u8, (id / 200 % 250) as u8, number))
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        20 + (id % 200) as u8,
+        (id / 200 % 250) as u8,
+        number,
+    ))
 }
 
 /// Finds a port that is free at an address.
@@ -206,7 +211,8 @@
     ) -> io::Result<()> {
         let file = |ending: &str| -> PathBuf { directory.join(format!("{}.{ending}", vm.name)) };
         std::fs::write(file("json"), write_settings(vm, store))?;
-        self.daemons.push(Daemon::start(role, &file("json"), &file("log"))?);
+        self.daemons
+            .push(Daemon::start(role, &file("json"), &file("log"))?);
         Ok(())
     }
 
@@ -234,7 +240,9 @@
             }
             thread::sleep(Duration::from_millis(200));
         }
-        Err(io::Error::other("the deployment has not done its first job in time"))
+        Err(io::Error::other(
+            "the deployment has not done its first job in time",
+        ))
     }
 
     fn entry(&self, number: usize) -> SocketAddr {
@@ -249,17 +257,20 @@
             None => "no answer".to_owned(),
         };
         let number = entry % self.entries.len();
-        self.record.note(format!("{method} {rest} at entry {number}: {shown}"));
+        self.record
+            .note(format!("{method} {rest} at entry {number}: {shown}"));
         answer
     }
 
     /// Hands a job in; returns the status of the answer, if there was one.
     pub fn submit(&self, entry: usize, job: &str, body: &str) -> Option<u16> {
-        self.send(entry, "POST", job, body).map(|(status, _)| status)
+        self.send(entry, "POST", job, body)
+            .map(|(status, _)| status)
     }
 
     pub fn cancel(&self, entry: usize, job: &str) -> Option<u16> {
-        self.send(entry, "DELETE", job, "").map(|(status, _)| status)
+        self.send(entry, "DELETE", job, "")
+            .map(|(status, _)| status)
     }
 
     /// Returns the state of a job, or the status of another answer.
@@ -267,7 +278,11 @@
         let (status, body) = self.send(entry, "GET", job, "")?;
         let state = crate::json::Json::read(&body);
         let state = state.map(|body| body.get("state").as_text().to_owned());
-        Some(state.filter(|_| status == 200).unwrap_or_else(|| status.to_string()))
+        Some(
+            state
+                .filter(|_| status == 200)
+                .unwrap_or_else(|| status.to_string()),
+        )
     }
 
     /// Returns the number of waiting jobs of the queue.
--- a/review/standin-3/record.rs
+++ b/review/standin-3/record.rs
@@ -50,6 +50,10 @@
     /// Returns the starts of tasks of a job.
     pub fn starts_of(&self, job: &str) -> Vec<Start> {
         let starts = self.starts.lock().unwrap_or_else(PoisonError::into_inner);
-        starts.iter().filter(|start| start.task.starts_with(job)).cloned().collect()
+        starts
+            .iter()
+            .filter(|start| start.task.starts_with(job))
+            .cloned()
+            .collect()
     }
 }
--- a/review/standin-3/silent.rs
+++ b/review/standin-3/silent.rs
@@ -36,8 +36,13 @@
 
 pub fn play(directory: &Path, record: &Arc<Record>, has_trouble: bool) -> std::io::Result<Verdict> {
     let store = |_: &str| Fate::Answered;
-    let deployment =
-        Deployment::start(directory, Arc::clone(record), EXECUTORS, EXECUTOR_CPU, store)?;
+    let deployment = Deployment::start(
+        directory,
+        Arc::clone(record),
+        EXECUTORS,
+        EXECUTOR_CPU,
+        store,
+    )?;
     thread::sleep(Duration::from_secs(4));
     let first = unix_millis() + DUE_MS.0;
     for number in 0..JOBS {
@@ -60,7 +65,9 @@
         let job = job_name(number);
         let status = deployment.cancel(number as usize, &job);
         if status != Some(200) {
-            return Ok(Verdict::NotPlayed("a cancelling was not acknowledged".to_owned()));
+            return Ok(Verdict::NotPlayed(
+                "a cancelling was not acknowledged".to_owned(),
+            ));
         }
         acks.push((job, record.now_ms()));
     }
@@ -69,7 +76,11 @@
     for (job, acked_at) in acks {
         // `contact_ms` after the silence, all machines are in touch again.
         let allowed = (acked_at + CANCEL_MS).max(silent_at + CONTACT_MS);
-        for start in record.starts_of(&job).iter().filter(|start| start.at_ms > allowed) {
+        for start in record
+            .starts_of(&job)
+            .iter()
+            .filter(|start| start.at_ms > allowed)
+        {
             broken.push(format!(
                 "{} was started {} ms after its cancelling was acknowledged",
                 start.task,
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -54,7 +54,9 @@
 impl Store {
     /// Serves a store on `listener`; `fate` is asked about the body of each transaction.
     pub fn start(listener: TcpListener, fate: FateChoice) -> (Arc<Store>, SocketAddr) {
-        let address = listener.local_addr().expect("a bound socket has an address");
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address");
         let store = Arc::new(Store {
             state: Mutex::default(),
             changed: Condvar::new(),
@@ -170,7 +172,11 @@
             name.0 == table && name.1 == part && is_before_end
         });
         let mut rows = rows.filter(|(_, row)| row.value.is_some());
-        let page: Vec<Json> = rows.by_ref().take(limit).map(|(n, r)| write_row(n, r)).collect();
+        let page: Vec<Json> = rows
+            .by_ref()
+            .take(limit)
+            .map(|(n, r)| write_row(n, r))
+            .collect();
         let has_more = rows.next().is_some();
         let body = object([
             ("rows", Json::List(page)),
@@ -183,7 +189,11 @@
 
     fn feed(&self, request: &Request) -> Reply {
         let table = request.query("table").unwrap_or_default().to_owned();
-        let field = |name| request.query(name).and_then(|value| value.parse::<u64>().ok());
+        let field = |name| {
+            request
+                .query(name)
+                .and_then(|value| value.parse::<u64>().ok())
+        };
         let after = field("after").unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(field("wait_ms").unwrap_or(0));
         let mut state = self.state();
--- a/review/standin-3/suspects.rs
+++ b/review/standin-3/suspects.rs
@@ -47,22 +47,34 @@
 
 pub fn play(directory: &Path, record: &Arc<Record>, has_trouble: bool) -> std::io::Result<Verdict> {
     let store = |_: &str| Fate::Answered;
-    let deployment =
-        Deployment::start(directory, Arc::clone(record), EXECUTORS, EXECUTOR_CPU, store)?;
+    let deployment = Deployment::start(
+        directory,
+        Arc::clone(record),
+        EXECUTORS,
+        EXECUTOR_CPU,
+        store,
+    )?;
     thread::sleep(Duration::from_secs(3));
     let large = r#"{"task_spec":"work=30000 cpu=50","steps":[{"count":600,"cpu":50,"requested_memory_mb":10,"estimated_ms":30000}]}"#;
     if deployment.submit(0, LARGE_JOB, large) != Some(200) {
-        return Ok(Verdict::NotPlayed("the large job was not accepted".to_owned()));
+        return Ok(Verdict::NotPlayed(
+            "the large job was not accepted".to_owned(),
+        ));
     }
     let end = Instant::now() + START_LIMIT;
     while record.starts_of(LARGE_JOB).len() < STARTS {
         if Instant::now() > end {
-            return Ok(Verdict::NotPlayed("the large job was not started".to_owned()));
+            return Ok(Verdict::NotPlayed(
+                "the large job was not started".to_owned(),
+            ));
         }
         thread::sleep(Duration::from_millis(1));
     }
     // Small tasks are placed together, so one executor has nearly all of them.
-    let fullest = deployment.workers.iter().max_by_key(|worker| worker.running());
+    let fullest = deployment
+        .workers
+        .iter()
+        .max_by_key(|worker| worker.running());
     if has_trouble && let Some(worker) = fullest {
         worker.crash(false);
         thread::sleep(DOWN);
@@ -76,14 +88,20 @@
     if deployment.submit(0, LASTING_JOB, lasting) != Some(200)
         || deployment.submit(1, WIDE_JOB, wide) != Some(200)
     {
-        return Ok(Verdict::NotPlayed("a later job was not accepted".to_owned()));
+        return Ok(Verdict::NotPlayed(
+            "a later job was not accepted".to_owned(),
+        ));
     }
     let calm_at = record.now_ms();
     let mut broken = Vec::new();
     while record.now_ms() < calm_at + FINISH_MS {
         thread::sleep(SAMPLE_INTERVAL);
         let started = |job| record.starts_of(job).len();
-        let room: Vec<String> = deployment.workers.iter().map(|worker| worker.room()).collect();
+        let room: Vec<String> = deployment
+            .workers
+            .iter()
+            .map(|worker| worker.room())
+            .collect();
         record.note(format!(
             "starts: {} of the large job, {} of the lasting one, {} of the wide one; free: {}",
             started(LARGE_JOB),
@@ -94,7 +112,10 @@
     }
     for (job, limit) in [(LASTING_JOB, CALM_MS), (WIDE_JOB, FINISH_MS)] {
         let state = deployment.state(0, job).unwrap_or_default();
-        let first = record.starts_of(job).first().map(|start| start.at_ms - calm_at);
+        let first = record
+            .starts_of(job)
+            .first()
+            .map(|start| start.at_ms - calm_at);
         if first.is_none_or(|first| first > limit) {
             let shown = first.map_or("not at all".to_owned(), |first| format!("after {first} ms"));
             broken.push(format!(
--- a/review/standin-3/waiting.rs
+++ b/review/standin-3/waiting.rs
@@ -30,8 +30,13 @@
 
 pub fn play(directory: &Path, record: &Arc<Record>, has_trouble: bool) -> std::io::Result<Verdict> {
     let store = |_: &str| Fate::Answered;
-    let deployment =
-        Deployment::start(directory, Arc::clone(record), EXECUTORS, EXECUTOR_CPU, store)?;
+    let deployment = Deployment::start(
+        directory,
+        Arc::clone(record),
+        EXECUTORS,
+        EXECUTOR_CPU,
+        store,
+    )?;
     thread::sleep(Duration::from_secs(4));
     if has_trouble && let Some(worker) = deployment.workers.last() {
         worker.crash(true);
@@ -62,9 +67,13 @@
             continue;
         };
         let due = |at: u64| at + VISIBLE_MS + ANSWER_AGE_MS < asked_at;
-        let jobs = accepted.iter().filter(|(job, at)| due(*at) && record.starts_of(job).is_empty());
+        let jobs = accepted
+            .iter()
+            .filter(|(job, at)| due(*at) && record.starts_of(job).is_empty());
         let unstarted = jobs.count() as u64;
-        record.note(format!("told {waiting} waiting, {unstarted} have not begun"));
+        record.note(format!(
+            "told {waiting} waiting, {unstarted} have not begun"
+        ));
         if waiting * 2 < unstarted {
             broken.push(format!(
                 "at {asked_at} ms entry {} gave {waiting} as waiting; {unstarted} jobs that were \
@@ -74,7 +83,10 @@
             ));
         }
     }
-    for (job, _) in accepted.iter().filter(|(job, _)| record.starts_of(job).is_empty()) {
+    for (job, _) in accepted
+        .iter()
+        .filter(|(job, _)| record.starts_of(job).is_empty())
+    {
         deployment.state(0, job);
     }
     if broken.is_empty() {
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -85,7 +85,9 @@
     ) -> Arc<Worker> {
         let worker = Arc::new(Worker {
             id: id.to_owned(),
-            address: listener.local_addr().expect("a bound socket has an address"),
+            address: listener
+                .local_addr()
+                .expect("a bound socket has an address"),
             zone: zone.to_owned(),
             rack: rack.to_owned(),
             registry,
@@ -122,7 +124,10 @@
         let mut state = self.state();
         for (task, run) in &state.running {
             let number = run.number;
-            self.record.note(format!("lost {task} run {number} on {}: it crashed", self.id));
+            self.record.note(format!(
+                "lost {task} run {number} on {}: it crashed",
+                self.id
+            ));
         }
         *state = State {
             is_down: true,
@@ -241,7 +246,11 @@
         let task = body.get("task").as_text().to_owned();
         let run = body.get("run").as_u64().unwrap_or(0);
         let spec = body.get("task_spec").as_text();
-        if state.running.get(&task).is_some_and(|known| known.number == run) {
+        if state
+            .running
+            .get(&task)
+            .is_some_and(|known| known.number == run)
+        {
             return (200, state.answer([]));
         }
         let last = state.last_runs.get(&task).copied().unwrap_or(0);
@@ -256,7 +265,9 @@
         let field = |name: &str| {
             let fields = spec.split(' ').filter_map(|field| field.split_once('='));
             let mut values = fields.filter(|(field, _)| *field == name);
-            values.next().and_then(|(_, value)| value.parse::<u64>().ok())
+            values
+                .next()
+                .and_then(|(_, value)| value.parse::<u64>().ok())
         };
         let cpu = field("cpu").unwrap_or(0);
         let used: u64 = state.running.values().map(|run| run.cpu).sum();
@@ -284,7 +295,11 @@
         let run = body.get("run").as_u64().unwrap_or(0);
         let last = state.last_runs.entry(task.clone()).or_default();
         *last = (*last).max(run);
-        if state.running.get(&task).is_some_and(|known| known.number <= run) {
+        if state
+            .running
+            .get(&task)
+            .is_some_and(|known| known.number <= run)
+        {
             self.end(&mut state, &task, "stopped");
         }
         (200, state.answer([]))
@@ -310,7 +325,9 @@
         }
         let running = state.running.iter().map(|(task, run)| {
             let elapsed = run.started_at.elapsed().as_millis() as u64;
-            let percent = run.work.map_or(100, |work| elapsed * 100 / work.as_millis() as u64);
+            let percent = run
+                .work
+                .map_or(100, |work| elapsed * 100 / work.as_millis() as u64);
             Json::List(vec![
                 text(&**task),
                 number(run.number),
@@ -347,7 +364,10 @@
             run: run.number,
             how,
         };
-        self.record.note(format!("end {task} run {} on {}: {how}", run.number, self.id));
+        self.record.note(format!(
+            "end {task} run {} on {}: {how}",
+            run.number, self.id
+        ));
         state.ends.insert(state.last_end, end);
         self.ended.notify_all();
     }
@@ -359,7 +379,9 @@
         }
         let has_lapsed = state.clock_ms() >= state.lease_until;
         let due = state.running.iter().filter_map(|(task, run)| {
-            let is_finished = run.work.is_some_and(|work| run.started_at.elapsed() >= work);
+            let is_finished = run
+                .work
+                .is_some_and(|work| run.started_at.elapsed() >= work);
             match (has_lapsed, is_finished) {
                 (true, _) => Some((task.clone(), "lapsed")),
                 (false, true) => Some((task.clone(), "done")),
@@ -384,7 +406,8 @@
     }
 
     fn clock_ms(&self) -> u64 {
-        self.clock.map_or(0, |start| start.elapsed().as_millis() as u64)
+        self.clock
+            .map_or(0, |start| start.elapsed().as_millis() as u64)
     }
 
     fn accept_fence(&mut self, body: &Json) -> bool {
