Log which leases a leader waits for, and what an agent that stops leaves

Now the leader logs whose leases ended last, how long the agent and the worker have been silent and how long it has led (metric lease_wait_seconds), and an agent logs at SIGTERM how long its worker may run on.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -200,7 +200,10 @@
         registry = registry.to_string(), endpoint = endpoint.to_string()
     });
     signals.terminated().await;
-    info!("agent is stopping after SIGTERM");
+    let lease_left = state.core().lease.remaining(state.clock.now());
+    info!("agent is stopping after SIGTERM", kv: {
+        lease_left_ms = lease_left.unwrap_or_default().as_millis() as u64
+    });
     state.core().table.set_stopping();
     state.command_due.notify_one();
     tokio::time::sleep(STOP_GRACE).await;
--- a/crates/turmeric-daemon/src/hosted/decision_log.rs
+++ b/crates/turmeric-daemon/src/hosted/decision_log.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use spdlog::{info, warn};
-use turmeric_jobs::{CrashEvidence, EndKind, EvictionCause, JobEvent, JobPhase, LossCause};
+use turmeric_jobs::{
+    CrashEvidence, EndKind, EvictionCause, JobEvent, JobPhase, LeaseOrigin, LossCause,
+};
 use turmeric_types::MonoTime;
 
 use super::metrics::{ProcessMetrics, ShedCause, count};
@@ -106,6 +108,23 @@
                     vm = vm, is_lost = is_lost, attempts = attempts
                 });
             }
+            JobEvent::LeasesExpired {
+                vm,
+                attempts,
+                origin,
+                report_silence,
+                worker_silence,
+                tenure,
+            } => {
+                let origin = origin_label(origin);
+                metrics.record_lease_wait(origin, worker_silence.max(report_silence));
+                warn!("leases on a VM have expired", kv: {
+                    vm = vm, attempts = attempts, origin = origin,
+                    report_silence_ms = report_silence.as_millis() as u64,
+                    worker_silence_ms = worker_silence.as_millis() as u64,
+                    tenure_ms = tenure.as_millis() as u64
+                });
+            }
             JobEvent::Ended { key, vm, kind } => {
                 count(&metrics.attempts, "ended", end_label(kind));
                 info!("attempt ended", kv: {
@@ -210,6 +229,13 @@
     }
 }
 
+fn origin_label(origin: LeaseOrigin) -> &'static str {
+    match origin {
+        LeaseOrigin::Own => "own",
+        LeaseOrigin::EarlierLeader => "earlier_leader",
+    }
+}
+
 fn loss_label(cause: LossCause) -> &'static str {
     match cause {
         LossCause::LeaseExpired => "lease_over",
--- a/crates/turmeric-daemon/src/hosted/metrics.rs
+++ b/crates/turmeric-daemon/src/hosted/metrics.rs
@@ -32,6 +32,13 @@
 /// Number of bounds of each histogram.
 const BOUND_COUNT: u16 = 12;
 
+/// Lowest bound of the histogram of waits for leases, in seconds; each of the eight bounds is twice
+/// the one before, up to 32 s.
+const SHORTEST_LEASE_SECONDS: f64 = 0.25;
+
+/// Number of bounds of that histogram.
+const LEASE_BOUND_COUNT: u16 = 8;
+
 /// Method and status of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct RequestLabels {
@@ -58,6 +65,12 @@
     pub(crate) leg: &'static str,
 }
 
+/// Which leases were waited for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OriginLabels {
+    pub(crate) origin: &'static str,
+}
+
 /// Why a job or one of its tasks was shed because capacity was insufficient.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ShedCause {
@@ -107,6 +120,8 @@
     pub(crate) worker_calls: OutcomeCounter,
     /// Workers that stopped to answer their agents, or answer again, as the leader sees it.
     pub(crate) workers: OutcomeCounter,
+    /// Time from the last sign of a worker until its leases have expired, by whose leases they are.
+    lease_wait_seconds: Family<OriginLabels, Histogram, fn() -> Histogram>,
     /// Epoch of this entry's leadership; zero while it does not lead.
     pub(crate) lead_epoch: Gauge<i64, AtomicI64>,
     /// Time of each leg of a job's way to its first start.
@@ -129,6 +144,11 @@
     Histogram::new(exponential_buckets(SHORTEST_SECONDS, 2.0, BOUND_COUNT))
 }
 
+fn lease_histogram() -> Histogram {
+    let bounds = exponential_buckets(SHORTEST_LEASE_SECONDS, 2.0, LEASE_BOUND_COUNT);
+    Histogram::new(bounds)
+}
+
 impl ProcessMetrics {
     /// Creates and registers the metrics, all at zero.
     pub(crate) fn new() -> Self {
@@ -146,6 +166,7 @@
             commit_seconds: histogram(),
             worker_calls: Family::default(),
             workers: Family::default(),
+            lease_wait_seconds: Family::new_with_constructor(lease_histogram),
             lead_epoch: Gauge::default(),
             start_leg_seconds: Family::new_with_constructor(histogram),
             open_jobs: Gauge::default(),
@@ -221,6 +242,12 @@
             "Workers that stopped to answer their agents, or answer again",
             self.workers.clone(),
         );
+        registry.register_with_unit(
+            "lease_wait",
+            "Time from the last sign of a worker until its leases have expired",
+            Unit::Seconds,
+            self.lease_wait_seconds.clone(),
+        );
         registry.register(
             "lead_epoch",
             "Epoch of this entry's leadership, or zero while it does not lead",
@@ -314,6 +341,13 @@
             .observe(elapsed.as_secs_f64());
     }
 
+    /// Records how long the leader waited for the leases on a VM after the last sign of its worker.
+    pub(crate) fn record_lease_wait(&self, origin: &'static str, elapsed: Duration) {
+        self.lease_wait_seconds
+            .get_or_create(&OriginLabels { origin })
+            .observe(elapsed.as_secs_f64());
+    }
+
     /// Counts a row that the store refuses for good; [`None`] stands for the leader's own.
     pub(crate) fn count_refused_row(&self, owner: Option<RowOwner>) {
         let cause = match owner {
--- a/crates/turmeric-jobs/src/lease.rs
+++ b/crates/turmeric-jobs/src/lease.rs
@@ -29,10 +29,15 @@
     /// Returns how long after a report the leader waits until the lease granted for it
     /// has certainly expired.
     pub fn wait(&self) -> Duration {
-        self.term + self.term * CLOCK_SLOW_PERCENT / 100 + END_SLACK
+        with_slow_clock(self.term)
     }
 }
 
+/// Returns how long a lease of `term` may last at most.
+fn with_slow_clock(term: Duration) -> Duration {
+    term + term * CLOCK_SLOW_PERCENT / 100 + END_SLACK
+}
+
 /// Reading of the worker's clock, matched to the agent's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClockReading {
@@ -104,6 +109,16 @@
         self.deadline_millis = self.deadline_millis.max(deadline_millis);
     }
 
+    /// Returns the time until all leases have expired, if none is renewed; [`None`] before the worker
+    /// has answered.
+    pub fn remaining(&self, now: MonoTime) -> Option<Duration> {
+        let reading = self.reading?;
+        let granted = self.deadline_millis.saturating_sub(reading.worker_millis);
+        let granted = Duration::from_millis(granted);
+        let end = reading.received_at.after(with_slow_clock(granted));
+        Some(end.since(now))
+    }
+
     /// Returns whether all leases have expired although the worker does not answer, even if its
     /// clock is slow.
     pub fn has_expired(&self, now: MonoTime) -> bool {
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -64,7 +64,7 @@
 };
 pub use scheduler::{CommitPlan, JobScheduler, LeaderTimeouts, RowOwner};
 pub use scheduler::{
-    EvictionCause, ExclusionCounts, ExclusionSummary, JobEvent, LossCause, WaitingStep,
+    EvictionCause, ExclusionCounts, ExclusionSummary, JobEvent, LeaseOrigin, LossCause, WaitingStep,
 };
 pub use shedding::{decide_admission, earliest_end};
 pub use spec::{CORE_LIMIT, JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -41,7 +41,7 @@
 
 pub use commit::CommitPlan;
 pub use exclusions::{ExclusionCounts, ExclusionSummary, WaitingStep};
-pub use notes::{EvictionCause, JobEvent, LossCause};
+pub use notes::{EvictionCause, JobEvent, LeaseOrigin, LossCause};
 pub use refusals::RowOwner;
 
 /// Timeouts that follow from the platform's contract and its clocks.
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -375,6 +375,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in expired {
+            self.record_expiry(&name, now);
             if let Some(vm) = self.vms.get_mut(&name) {
                 vm.is_ready = false;
             }
--- a/crates/turmeric-jobs/src/scheduler/notes.rs
+++ b/crates/turmeric-jobs/src/scheduler/notes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use turmeric_types::WallTime;
+use turmeric_types::{MonoTime, WallTime};
 
 use super::JobScheduler;
 use crate::{AttemptKey, CrashEvidence, EndKind, JobCode, JobPhase, JobUrgency};
@@ -46,6 +46,15 @@
     Dropped,
 }
 
+/// Which leases a leader waits for before it runs the tasks of a silent VM elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseOrigin {
+    /// Those that it granted itself.
+    Own,
+    /// Those that an earlier leader may have granted.
+    EarlierLeader,
+}
+
 /// A decision of the leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum JobEvent {
@@ -111,6 +120,21 @@
         /// Attempts that may be running on the VM.
         attempts: usize,
     },
+    /// The leases on a VM have certainly expired.
+    LeasesExpired {
+        /// The VM.
+        vm: String,
+        /// Attempts that may have been running on it until then.
+        attempts: usize,
+        /// Which leases ended last.
+        origin: LeaseOrigin,
+        /// Time since the agent's last report, or since the takeover if there was none.
+        report_silence: Duration,
+        /// Time since the agent first reported that the worker does not answer; zero if it did.
+        worker_silence: Duration,
+        /// Time since this leader took over.
+        tenure: Duration,
+    },
     /// An attempt ended without success.
     Ended {
         /// The attempt.
@@ -177,6 +201,26 @@
         }
     }
 
+    /// Reports that the leases on a VM have expired.
+    pub(super) fn record_expiry(&mut self, name: &str, now: MonoTime) {
+        let Some(vm) = self.vms.get(name) else {
+            return;
+        };
+        let origin = if vm.knows_leader {
+            LeaseOrigin::Own
+        } else {
+            LeaseOrigin::EarlierLeader
+        };
+        self.events.push(JobEvent::LeasesExpired {
+            vm: name.to_owned(),
+            attempts: vm.attempts.len(),
+            origin,
+            report_silence: now.since(vm.reported_at),
+            worker_silence: now.since(vm.unresponsive_since.unwrap_or(now)),
+            tenure: now.since(self.took_over_at),
+        });
+    }
+
     /// Reports the end of a job.
     pub(super) fn record_job_end(&mut self, code: JobCode, now: WallTime) {
         let Some(job) = self.jobs.get(&code) else {
