Renew leases for six seconds at most, and wait for no longer ones

Seen: tasks of a VM that is gone waited 10.6 s where workers accept leases of 10 s.

Cause: the leader waited for the longest lease that a worker accepts. An agent renewed for at most 6 s from the worker's last answer, but counted the longest lease from the leader's last answer, so that it could go on for 9.9 s without a leader; the wait was as long as that.

Change: a lease counts for 6 s at most from the report that the leader answered, for agent and leader alike, and a report says how long the leases at its worker may last. Of an agent of an earlier version, which does not say so, the leader waits for the longest as before; a leader of an earlier version waits longer than needed. The model's deliberate fault of short leases is now stated by the agents too, since the leader follows their statement; it is found as before.

Conclusion: with workers that accept 6 s nothing changes; with 10 s, work without a leader ends after 6 s instead of 9.9 s.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -10,8 +10,8 @@
 use spdlog::{info, warn};
 use tokio::sync::{Notify, watch};
 use turmeric_jobs::{
-    AttemptKey, AttemptTable, EndpointIncarnation, HeadroomSample, HeartbeatVerdict, PolicySet,
-    VmReport, WorkerLease,
+    AttemptKey, AttemptTable, EndpointIncarnation, HeadroomSample, HeartbeatVerdict, LeaseLimits,
+    PolicySet, VmReport, WorkerLease,
 };
 use turmeric_platform::{CallClient, RegistryHeartbeat, StoreClient, WorkerCalls};
 use turmeric_schema::v1;
@@ -54,6 +54,7 @@
     pub(crate) clock: ProcessClock,
     pub(crate) worker: WorkerCalls,
     pub(crate) metrics: Arc<ProcessMetrics>,
+    pub(crate) lease_limits: LeaseLimits,
     core: Mutex<AgentCore>,
     /// Notified when a report should be sent without waiting for the interval.
     pub(crate) report_due: Notify,
@@ -176,8 +177,10 @@
     let metrics = Arc::new(ProcessMetrics::new());
     let clock = ProcessClock::new();
     tokio::spawn(serve_metrics(config.metrics, Arc::clone(&metrics), clock));
+    let lease = super::entry::lease_limits(&boot);
     let state = Arc::new(AgentState {
         metrics,
+        lease_limits: lease,
         vm: boot.vm.clone(),
         zone: boot.zone.clone(),
         clock,
@@ -190,7 +193,6 @@
         command_due: Notify::new(),
         incarnation_changed: Notify::new(),
     });
-    let lease = super::entry::lease_limits(&boot);
     serve_registry(registry, Arc::clone(&state)).await?;
     tokio::spawn(run_worker_polls(Arc::clone(&state), lease));
     tokio::spawn(run_commands(Arc::clone(&state), lease));
@@ -297,7 +299,12 @@
                 let sample = core.headroom.take();
                 let held = core.table.attempt_count() as i64;
                 state.metrics.held_attempts.set(held);
+                let grant = core.table.grant();
+                let lease_wait =
+                    core.lease
+                        .wait(&state.lease_limits, grant, core.is_unresponsive, now);
                 VmReport {
+                    lease_wait: Some(lease_wait),
                     headroom: sample.map(|sample| (core.measurement_number, sample)),
                     is_unresponsive: core.is_unresponsive,
                     ..core.table.report(&state.vm, &state.zone, now)
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -29,11 +29,6 @@
 /// of these VMs, from which tokens are made, jump by up to 2 s.
 const FENCE_STEP: u64 = 10_000;
 
-/// Maximum term of one lease: long enough to outlast the restart of a killed agent (3.5 s and
-/// a heartbeat), short enough for the tasks of an unreachable worker to be placed elsewhere
-/// soon.
-const MAX_LEASE_TERM: Duration = Duration::from_secs(6);
-
 /// Maximum time between two checks for due commands or an incarnation to poll.
 const COMMAND_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -93,8 +88,7 @@
     /// Returns the deadline of the current lease by the worker's clock, in milliseconds.
     fn lease_deadline(&self, lease: &LeaseLimits) -> Option<u64> {
         let reading = self.lease.reading()?;
-        let granted = self.table.grant()?.worker_deadline(lease, &reading);
-        Some(granted.min(reading.worker_millis + MAX_LEASE_TERM.as_millis() as u64))
+        Some(self.table.grant()?.worker_deadline(lease, &reading))
     }
 }
 
@@ -127,7 +121,8 @@
                 return MIN_POLL_INTERVAL;
             }
             let was_synced = core.table.is_synced();
-            core.is_unresponsive = false;
+            // The leader renews no lease until it hears that the worker answers again.
+            let is_regained = std::mem::take(&mut core.is_unresponsive);
             // Without a time in the answer, the last reading stands; it bounds the leases.
             if let Some(worker_millis) = clock_millis {
                 core.lease.record_reading(ClockReading {
@@ -146,7 +141,7 @@
                 has_more_ends,
             };
             let had_more_ends = core.table.has_more_ends();
-            let has_updates = core.table.apply_lists(mark, lists) || !was_synced;
+            let has_updates = core.table.apply_lists(mark, lists) || !was_synced || is_regained;
             record_ends_page(state, &core.table, had_more_ends);
             if !was_synced {
                 info!("worker accepted the fencing token", kv: {
--- a/crates/turmeric-jobs/benches/leader.rs
+++ b/crates/turmeric-jobs/benches/leader.rs
@@ -56,6 +56,7 @@
         crash: None,
         headroom: None,
         has_more_ends: false,
+        lease_wait: None,
     }
 }
 
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -535,6 +535,7 @@
             crash: self.crash.clone(),
             headroom: None,
             has_more_ends,
+            lease_wait: None,
         }
     }
 
--- a/crates/turmeric-jobs/src/lease.rs
+++ b/crates/turmeric-jobs/src/lease.rs
@@ -12,25 +12,38 @@
 /// flight and the time that a stop takes.
 const END_SLACK: Duration = Duration::from_millis(300);
 
+/// Longest term of a lease: long enough to outlast the restart of a killed agent (3.5 s and a
+/// heartbeat), short enough for the tasks of an unreachable worker to be placed elsewhere soon.
+const MAX_TERM: Duration = Duration::from_secs(6);
+
 /// Durations of leases.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseLimits {
     /// How long a worker may continue after the report of its agent that the leader
     /// answered.
     pub term: Duration,
+    /// Longest lease that a worker accepts.
+    accepted: Duration,
 }
 
 impl LeaseLimits {
     /// Creates limits from the longest lease that a worker accepts.
-    pub const fn new(term: Duration) -> Self {
-        Self { term }
+    pub const fn new(accepted: Duration) -> Self {
+        let is_short = accepted.as_millis() < MAX_TERM.as_millis();
+        let term = if is_short { accepted } else { MAX_TERM };
+        Self { term, accepted }
     }
 
-    /// Returns how long after a report the leader waits until the lease granted for it
-    /// has certainly expired.
+    /// Returns how long after a report the lease granted for it has certainly expired.
     pub fn wait(&self) -> Duration {
         with_slow_clock(self.term)
     }
+
+    /// Returns the same for an agent of an earlier version, which counts from the report the
+    /// longest lease that the worker accepts.
+    pub fn earlier_wait(&self) -> Duration {
+        with_slow_clock(self.accepted)
+    }
 }
 
 /// Returns how long a lease of `term` may last at most.
@@ -119,6 +132,24 @@
         Some(end.since(now))
     }
 
+    /// Returns the time until all leases have expired, with those that may yet be renewed under
+    /// `grant` or under one that counts from now. The leader grants none to an agent whose worker
+    /// does not answer.
+    pub fn wait(
+        &self,
+        limits: &LeaseLimits,
+        grant: Option<LeaseGrant>,
+        is_unresponsive: bool,
+        now: MonoTime,
+    ) -> Duration {
+        if !is_unresponsive {
+            return limits.wait();
+        }
+        let given = self.remaining(now).unwrap_or(limits.wait());
+        let granted = grant.map(|grant| grant.reported_at.after(limits.wait()).since(now));
+        given.max(granted.unwrap_or_default())
+    }
+
     /// Returns whether all leases have expired although the worker does not answer, even if its
     /// clock is slow.
     pub fn has_expired(&self, now: MonoTime) -> bool {
--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -1,6 +1,7 @@
 //! Reports of an agent to the leader, and their encoding as messages.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use turmeric_schema::v1;
 use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, ResourceSet};
@@ -187,6 +188,9 @@
     /// There may be further ends, which follow once the leader has recorded these. An attempt
     /// that is missing from the report may have ended in any way.
     pub has_more_ends: bool,
+    /// Time after the report at which all leases at the worker have expired, the one included that
+    /// counts from the report; [`None`] from an earlier version of the agent.
+    pub lease_wait: Option<Duration>,
 }
 
 /// Encodes the key of an attempt as a message.
@@ -230,6 +234,7 @@
             unresponsive: self.is_unresponsive,
             crash: self.crash.as_ref().map(write_crash),
             has_more_ends: self.has_more_ends,
+            lease_wait_millis: self.lease_wait.unwrap_or_default().as_millis() as u64,
         }
     }
 
@@ -276,6 +281,8 @@
             crash: message.crash.map(read_crash).transpose()?,
             headroom: message.headroom.map(read_headroom).transpose()?,
             has_more_ends: message.has_more_ends,
+            lease_wait: (message.lease_wait_millis > 0)
+                .then(|| Duration::from_millis(message.lease_wait_millis)),
         })
     }
 }
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -269,7 +269,7 @@
 
     /// Adds the attempts of a restored job to their VMs.
     fn restore_attempts(&mut self, code: JobCode) {
-        let earlier_leader_deadline = self.earlier_leader_deadline();
+        let earlier_leases_end_at = self.earlier_leases_end_at();
         let Some(job) = self.jobs.get(&code) else {
             return;
         };
@@ -290,7 +290,7 @@
             let vm = self
                 .vms
                 .entry(attempt.location.vm.clone())
-                .or_insert_with(|| VmState::new(self.took_over_at, earlier_leader_deadline));
+                .or_insert_with(|| VmState::new(self.took_over_at, earlier_leases_end_at));
             vm.attempts.insert(key, attempt);
         }
     }
@@ -353,9 +353,10 @@
         std::mem::take(&mut self.pending_updates)
     }
 
-    /// Returns the latest time at which an earlier leader may have renewed a lease.
-    fn earlier_leader_deadline(&self) -> MonoTime {
-        self.took_over_at.after(self.timeouts.confirmation_timeout)
+    /// Returns when all leases have expired that an earlier leader may have renewed.
+    fn earlier_leases_end_at(&self) -> MonoTime {
+        let renewed_at = self.took_over_at.after(self.timeouts.confirmation_timeout);
+        renewed_at.after(self.timeouts.lease.earlier_wait())
     }
 
     /// Returns whether the state of a job has been kept long enough to be deleted.
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -55,15 +55,20 @@
     /// Handles a report of an agent.
     pub fn handle_report(&mut self, report: VmReport, now: MonoTime, wall: WallTime) {
         let name = report.vm.clone();
-        let earlier_leader_deadline = self.earlier_leader_deadline();
+        let earlier_leases_end_at = self.earlier_leases_end_at();
+        let lease_end = now.after(
+            report
+                .lease_wait
+                .unwrap_or(self.timeouts.lease.earlier_wait()),
+        );
         let knows_leader = report.epoch == self.epoch;
         let vm = self
             .vms
             .entry(name.clone())
-            .or_insert_with(|| VmState::new(now, earlier_leader_deadline));
+            .or_insert_with(|| VmState::new(now, earlier_leases_end_at));
         if knows_leader && !vm.knows_leader {
             vm.knows_leader = true;
-            vm.leased_at = now;
+            vm.leases_end_at = vm.leases_end_at.max(lease_end);
         }
         vm.zone.clone_from(&report.zone);
         vm.reported_at = now;
@@ -115,12 +120,7 @@
         if let Some(vm) = self.vms.get_mut(&name) {
             vm.is_ready = knows_leader;
             vm.lease_stamp_millis = Some(report.stamp_millis);
-            // Until the agent knows this leader, an earlier one may renew its leases as well.
-            vm.leased_at = if knows_leader {
-                now
-            } else {
-                now.max(vm.leased_at)
-            };
+            vm.leases_end_at = vm.leases_end_at.max(lease_end);
         }
     }
 
@@ -367,11 +367,10 @@
 
     /// Handles expired leases, and evicts attempts that should run on another VM.
     pub fn tick(&mut self, now: MonoTime) {
-        let wait = self.timeouts.lease.wait();
         let expired: Vec<String> = self
             .vms
             .iter()
-            .filter(|(_, vm)| !vm.attempts.is_empty() && now > vm.leased_at.after(wait))
+            .filter(|(_, vm)| !vm.attempts.is_empty() && now > vm.all_leases_end_at())
             .map(|(name, _)| name.clone())
             .collect();
         for name in expired {
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -189,8 +189,11 @@
     /// The agent's clock in its last report, in milliseconds, if a lease may count from that
     /// report.
     pub(crate) lease_stamp_millis: Option<u64>,
-    /// Latest time from which any lease on the VM may count.
-    pub(crate) leased_at: MonoTime,
+    /// When all leases on the VM that this leader knows of have expired.
+    pub(crate) leases_end_at: MonoTime,
+    /// The same for those that an earlier leader may have granted, as long as the agent does not
+    /// know this leader.
+    pub(crate) earlier_leases_end_at: MonoTime,
     /// The agent knows this leader, so no other leader renews its leases.
     pub(crate) knows_leader: bool,
     /// Attempts that may be running on the VM.
@@ -213,8 +216,9 @@
 }
 
 impl VmState {
-    /// Creates the state of a VM on which no lease counts from later than `leased_at`.
-    pub(crate) fn new(now: MonoTime, leased_at: MonoTime) -> Self {
+    /// Creates the state of a VM on which the leases of earlier leaders end at
+    /// `earlier_leases_end_at`.
+    pub(crate) fn new(now: MonoTime, earlier_leases_end_at: MonoTime) -> Self {
         Self {
             zone: String::new(),
             info: None,
@@ -225,7 +229,8 @@
             link: 0,
             reported_at: now,
             lease_stamp_millis: None,
-            leased_at,
+            leases_end_at: now,
+            earlier_leases_end_at,
             knows_leader: false,
             attempts: BTreeMap::new(),
             expired: Vec::new(),
@@ -247,6 +252,15 @@
         self.suspicion = VmSuspicion::default();
     }
 
+    /// Returns when all leases on the VM have certainly expired.
+    pub(crate) fn all_leases_end_at(&self) -> MonoTime {
+        if self.knows_leader {
+            self.leases_end_at
+        } else {
+            self.leases_end_at.max(self.earlier_leases_end_at)
+        }
+    }
+
     /// Returns whether a location is in the endpoint's current incarnation.
     pub(crate) fn is_current_incarnation(&self, location: &AttemptLocation) -> bool {
         self.info
--- a/crates/turmeric-jobs/tests/consolidation.rs
+++ b/crates/turmeric-jobs/tests/consolidation.rs
@@ -307,6 +307,7 @@
             crash: None,
             headroom: None,
             has_more_ends: false,
+            lease_wait: None,
         }
     }
 
--- a/crates/turmeric-jobs/tests/exclusions.rs
+++ b/crates/turmeric-jobs/tests/exclusions.rs
@@ -333,6 +333,7 @@
         crash: None,
         headroom: None,
         has_more_ends: false,
+        lease_wait: None,
     }
 }
 
--- a/crates/turmeric-jobs/tests/fleet/mod.rs
+++ b/crates/turmeric-jobs/tests/fleet/mod.rs
@@ -253,6 +253,7 @@
             crash: vm.crash.clone().filter(|_| vm.back_at.is_none()),
             headroom: None,
             has_more_ends: false,
+            lease_wait: None,
         }
     }
 
--- a/crates/turmeric-jobs/tests/lease_waits.rs
+++ b/crates/turmeric-jobs/tests/lease_waits.rs
@@ -93,6 +93,7 @@
             }),
             is_synced: true,
             is_unresponsive,
+            lease_wait: Some(self.limits.wait()),
             ..VmReport::default()
         };
         let wall = self.wall();
--- a/crates/turmeric-jobs/tests/leaving.rs
+++ b/crates/turmeric-jobs/tests/leaving.rs
@@ -47,6 +47,7 @@
         crash: None,
         headroom: None,
         has_more_ends: false,
+        lease_wait: None,
     }
 }
 
--- a/crates/turmeric-jobs/tests/policies.rs
+++ b/crates/turmeric-jobs/tests/policies.rs
@@ -132,6 +132,7 @@
             },
         )),
         has_more_ends: false,
+        lease_wait: None,
     }
 }
 
--- a/crates/turmeric-jobs/tests/shedding.rs
+++ b/crates/turmeric-jobs/tests/shedding.rs
@@ -190,6 +190,7 @@
             crash: None,
             headroom: None,
             has_more_ends: false,
+            lease_wait: None,
         }
     }
 
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -25,6 +25,9 @@
 
 const LEASE: LeaseLimits = LeaseLimits::new(Duration::from_secs(4));
 
+/// Leases that are shorter than those of the workers.
+const SHORT_LEASE: LeaseLimits = LeaseLimits::new(Duration::from_secs(1));
+
 const TERMS: LeaderTimeouts = LeaderTimeouts {
     lease: LEASE,
     confirmation_timeout: Duration::from_secs(5),
@@ -121,7 +124,7 @@
 /// A deliberate fault that shows that the checks can fail.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WorldFault {
-    /// The leader assumes that leases are shorter than they are.
+    /// The leader assumes, and the agents report, that leases are shorter than they are.
     ShortLease,
     /// Agents report more processors than there are, and workers accept every start.
     CapacityLie,
@@ -701,7 +704,7 @@
             ..TERMS
         };
         if self.fault == Some(WorldFault::ShortLease) {
-            terms.lease = LeaseLimits::new(Duration::from_secs(1));
+            terms.lease = SHORT_LEASE;
         }
         let mut scheduler = JobScheduler::new(
             terms,
@@ -864,9 +867,16 @@
             .report(&format!("w{number}"), "morava-a", self.mono())
             .write();
         message.unresponsive = agent.is_unresponsive;
+        let (grant, now) = (agent.table.grant(), self.mono());
+        let lease_wait = match self.fault {
+            Some(WorldFault::ShortLease) => SHORT_LEASE.wait(),
+            _ => agent.lease.wait(&LEASE, grant, agent.is_unresponsive, now),
+        };
+        message.lease_wait_millis = lease_wait.as_millis() as u64;
         if agent.is_earlier {
             message.unresponsive = false;
             message.crash = None;
+            message.lease_wait_millis = 0;
             for run in &mut message.runs {
                 run.confirmed = false;
             }
