Grant no lease to the agent of a worker that does not answer

The leader counted the leases from the last of these reports, although an agent renews none for a silent worker.

Change: the leader answers such a report without a grant, so its wait goes on.

All tests of turmeric-jobs pass.

--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -119,8 +119,11 @@
         }
         if let Some(vm) = self.vms.get_mut(&name) {
             vm.is_ready = knows_leader;
-            vm.lease_stamp_millis = Some(report.stamp_millis);
-            vm.leases_end_at = vm.leases_end_at.max(lease_end);
+            // The leases of a worker that does not answer are not renewed, so that they expire.
+            if !report.is_unresponsive {
+                vm.lease_stamp_millis = Some(report.stamp_millis);
+                vm.leases_end_at = vm.leases_end_at.max(lease_end);
+            }
         }
     }
 
