Let the leader's row promise when leases end, and wait for no more after a takeover

Cause: a new leader assumed of each VM with recorded attempts that the earlier leader might have renewed its leases until 12 s after the takeover, also after a release, and each takeover began this anew. The store held nothing about what was granted.

Change: the leader's row promises when all leases have expired that it or an earlier leader granted, with the earlier ends of VMs that it grants nothing to; a lease is granted only if each row that may be in the store covers it. The next leader waits for that and carries it on. Without the store a leader grants for 2 s instead of 12 s, and orders without a grant go on; they name the report that they answer, so that agents still tell them from orders of before a loss.

--- a/crates/turmeric-daemon/src/hosted/entry.rs
+++ b/crates/turmeric-daemon/src/hosted/entry.rs
@@ -35,9 +35,10 @@
 /// shortens it.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
-/// How long a leader renews leases without a confirmation from the store: longer than the
-/// store's outages on these sites, so that running work survives them.
-const LEADER_CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(12);
+/// How long a leader renews leases without a confirmation from the store. It writes every 700 ms, and
+/// a write takes 0.25 s when the store is slow; another entry takes over after 2.2 s of silence, and
+/// waits for what was renewed until then.
+const RENEWAL_WINDOW: Duration = Duration::from_secs(2);
 
 /// States of jobs are kept longer by this than the platform guarantees.
 const RETENTION_MARGIN: Duration = Duration::from_secs(30);
@@ -137,7 +138,7 @@
         clock,
         terms: LeaderTimeouts {
             lease: lease_limits(&boot),
-            confirmation_timeout: LEADER_CONFIRMATION_TIMEOUT,
+            renewal_window: RENEWAL_WINDOW,
             retention: state_retention,
         },
         policies: config.policies,
--- a/crates/turmeric-daemon/src/hosted/leader.rs
+++ b/crates/turmeric-daemon/src/hosted/leader.rs
@@ -10,8 +10,8 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use turmeric_jobs::{
-    CommitPlan, ForgottenJobs, JobCode, JobEvent, JobScheduler, RowOwner, StartLeg, StartTracker,
-    VmReport,
+    CommitPlan, ForgottenJobs, JobCode, JobEvent, JobScheduler, LeasePromise, RowOwner, StartLeg,
+    StartTracker, VmReport,
 };
 use turmeric_platform::StoreRow;
 use turmeric_schema::{Message, v1};
@@ -69,6 +69,10 @@
     pub(crate) version: u64,
     /// When the takeover was sent to the store.
     pub(crate) taken_over_at: MonoTime,
+    /// When the leases of earlier leaders have expired.
+    pub(crate) earlier_promise: LeasePromise,
+    /// What the row of the takeover promises about leases.
+    pub(crate) promise: LeasePromise,
     /// Loads of the queues as the earlier leader last wrote them.
     pub(crate) queues: Vec<v1::QueueLoad>,
     /// Largest processor allocation of any entry that has led before.
@@ -177,6 +181,7 @@
         context.clock.now(),
     )
     .with_confirmation(grant.taken_over_at)
+    .with_promises(grant.earlier_promise.clone(), grant.promise.clone())
     .with_policies(context.policies)
     .with_loads(grant.queues.clone())
     .with_callers_address(context.callers.address.to_string())
@@ -565,12 +570,6 @@
 
     /// Queues orders for the agent of a VM.
     fn send_orders(&mut self, vm: &str, now: MonoTime) {
-        // Once the store has not confirmed this leader for a while, another entry may lead. A
-        // new leader waits for leases renewed within this time to expire, not for later ones.
-        let timeout = self.context.terms.confirmation_timeout;
-        if now.since(self.scheduler.confirmed_at()) > timeout {
-            return;
-        }
         let Some(order_sender) = self.order_senders.get(vm) else {
             return;
         };
--- a/crates/turmeric-daemon/src/hosted/leadership.rs
+++ b/crates/turmeric-daemon/src/hosted/leadership.rs
@@ -9,11 +9,12 @@
 use spdlog::{info, warn};
 use tokio::sync::watch;
 use turmeric_jobs::{
-    EPOCH_LIMIT, ElectionMonitor, ElectionStep, LeaderObservation, TakeoverCause, next_epoch,
+    EPOCH_LIMIT, ElectionMonitor, ElectionStep, LeaderObservation, LeasePromise, TakeoverCause,
+    next_epoch,
 };
 use turmeric_platform::{FeedAnswer, RowPut, RowRef, StoreClient, StoreRow, TxAnswer, TxRequest};
 use turmeric_schema::{Message, v1};
-use turmeric_types::{CoreCount, SplitMixRandom};
+use turmeric_types::{CoreCount, MonoTime, SplitMixRandom};
 
 use super::callers::CallerState;
 use super::leader::{LeadershipEnd, LeadershipGrant, run_leader};
@@ -183,10 +184,12 @@
                 match monitor.observe(observation, now.since(asked_at), now) {
                     ElectionStep::WaitUntil(due) => pause = pause.min(due.since(now)),
                     ElectionStep::TakeOver(cause) if !is_stopping => {
-                        let earlier = leader.unwrap_or_default();
-                        match take_over_and_lead(&context, cause, version, earlier, &mut links)
-                            .await
-                        {
+                        let earlier = EarlierRow {
+                            version,
+                            leader: leader.unwrap_or_default(),
+                            written_at: monitor.seen_at(version).unwrap_or(now),
+                        };
+                        match take_over_and_lead(&context, cause, earlier, &mut links).await {
                             Some(LeadershipEnd::Released) => return,
                             Some(LeadershipEnd::Lost) => {
                                 monitor = new_monitor(&context, &mut random)
@@ -217,15 +220,14 @@
 async fn take_over_and_lead(
     context: &LeaderContext,
     cause: TakeoverCause,
-    version: u64,
-    earlier: v1::LeaderRow,
+    earlier: EarlierRow,
     links: &mut tokio::sync::mpsc::Receiver<AgentLink>,
 ) -> Option<LeadershipEnd> {
     info!("leadership can be taken over", kv: {
-        cause = format!("{cause:?}"), epoch = earlier.epoch, holder = earlier.holder,
-        row_version = version
+        cause = format!("{cause:?}"), epoch = earlier.leader.epoch, holder = earlier.leader.holder,
+        row_version = earlier.version
     });
-    let grant = acquire_leadership(context, version, earlier).await?;
+    let grant = acquire_leadership(context, earlier).await?;
     let end = run_leader(context, grant, links).await;
     context.metrics.lead_epoch.set(0);
     context.metrics.open_jobs.set(0);
@@ -283,16 +285,28 @@
     }
 }
 
-/// Writes the rows of a new epoch, on condition that the leader's row still has `version`.
+/// The leader's row as an entry finds it before it takes over.
+struct EarlierRow {
+    version: u64,
+    leader: v1::LeaderRow,
+    /// The row was in the store by then.
+    written_at: MonoTime,
+}
+
+/// Writes the rows of a new epoch, on condition that the leader's row has not changed.
 async fn acquire_leadership(
     context: &LeaderContext,
-    version: u64,
-    earlier: v1::LeaderRow,
+    earlier: EarlierRow,
 ) -> Option<LeadershipGrant> {
+    let EarlierRow {
+        version,
+        leader: earlier,
+        written_at,
+    } = earlier;
     let announced = read_announced_epoch(context, &earlier).await?;
     let epoch = next_epoch(earlier.epoch, announced);
     let strongest = CoreCount::from_millicores(earlier.strongest_millicores);
-    let row = v1::LeaderRow {
+    let mut row = v1::LeaderRow {
         epoch,
         holder: context.vm.clone(),
         address: context.address.to_string(),
@@ -302,6 +316,11 @@
         strongest_millicores: strongest.max(context.processor).as_millicores(),
         ..v1::LeaderRow::default()
     };
+    let taken_over_at = context.clock.now();
+    let limits = &context.terms.lease;
+    let earlier_promise = LeasePromise::read(&earlier, limits, written_at);
+    let promise = earlier_promise.take_over(limits, context.terms.renewal_window, taken_over_at);
+    promise.write(&mut row, taken_over_at);
     let leadership_row = v1::SeatRow {
         epoch,
         address: row.address.clone(),
@@ -316,7 +335,6 @@
         ],
         removes: Vec::new(),
     };
-    let taken_over_at = context.clock.now();
     match context.store.transact(&request, CALL_TIMEOUT).await {
         TxAnswer::Done { version } => {
             info!("took over leadership", kv: { epoch = epoch, row_version = version });
@@ -324,6 +342,8 @@
                 epoch,
                 version,
                 taken_over_at,
+                earlier_promise,
+                promise,
                 queues: earlier.queues,
                 strongest,
             })
--- a/crates/turmeric-jobs/src/attempts/orders.rs
+++ b/crates/turmeric-jobs/src/attempts/orders.rs
@@ -47,7 +47,9 @@
             incarnation.endpoint == orders.endpoint && incarnation.started_at_millis == orders.born
         });
         let reported_at = MonoTime::from_millis(orders.stamp_millis);
-        let is_revoked = self.terminated_at.is_some_and(|at| reported_at <= at);
+        // A leader of an earlier version names only reports from which a lease counts.
+        let answered_at = reported_at.max(MonoTime::from_millis(orders.answered_millis));
+        let is_revoked = self.terminated_at.is_some_and(|at| answered_at <= at);
         if !is_present || !self.is_synced || is_revoked {
             return Ok(false);
         }
--- a/crates/turmeric-jobs/src/election.rs
+++ b/crates/turmeric-jobs/src/election.rs
@@ -92,7 +92,9 @@
     position_permille: u32,
     started_at: Option<MonoTime>,
     observed_at: Option<MonoTime>,
-    /// Version last read, and the time since which it has not changed.
+    /// Version last read, and when it was first read.
+    seen: Option<(u64, MonoTime)>,
+    /// Version last read, and the time since which it counts as unchanged.
     last_version: Option<(u64, MonoTime)>,
     /// Version and cause of the planned takeover, and when this entry attempts it.
     due: Option<(u64, TakeoverCause, MonoTime)>,
@@ -107,6 +109,7 @@
             position_permille,
             started_at: None,
             observed_at: None,
+            seen: None,
             last_version: None,
             due: None,
         }
@@ -120,6 +123,10 @@
         now: MonoTime,
     ) -> ElectionStep {
         self.started_at.get_or_insert(now);
+        let version = observation.map_or(0, |observation| observation.version);
+        if self.seen.is_none_or(|(known, _)| known != version) {
+            self.seen = Some((version, now));
+        }
         let gap = self.observed_at.map(|observed_at| now.since(observed_at));
         self.observed_at = Some(now);
         let cause = match observation {
@@ -130,7 +137,6 @@
             self.due = None;
             return ElectionStep::Follow;
         };
-        let version = observation.map_or(0, |observation| observation.version);
         let due = match self.due {
             Some((last_version, known, due)) if last_version == version && known == cause => due,
             _ => now.after(self.delay(cause, observation, read_duration)),
@@ -143,6 +149,12 @@
         }
     }
 
+    /// Returns when the row was first read with `version`, if that is the last one read.
+    pub fn seen_at(&self, version: u64) -> Option<MonoTime> {
+        let (known, seen_at) = self.seen?;
+        (known == version).then_some(seen_at)
+    }
+
     fn takeover_cause(
         &mut self,
         observation: LeaderObservation,
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod ends;
 mod exclusions;
+mod leases;
 mod load;
 mod losses;
 mod moves;
@@ -30,10 +31,11 @@
 use crate::cancellations::EarlyCancels;
 use crate::{
     AttemptKey, EstimateTable, HeadroomTable, JobCode, JobPhase, JobSpec, JobState, LeaseLimits,
-    PolicySet, ProgressPart, QueuePolicy, StoreBounds, TaskName,
+    LeasePromise, PolicySet, ProgressPart, QueuePolicy, StoreBounds, TaskName,
 };
 use commit::HEADROOM_INTERVAL;
 use crashes::CrashHistory;
+use leases::LeaseBook;
 use moves::MoveReservation;
 use notes::EventList;
 use refusals::RefusalSearch;
@@ -49,9 +51,9 @@
 pub struct LeaderTimeouts {
     /// Limits of the workers' leases.
     pub lease: LeaseLimits,
-    /// How long a leader keeps renewing leases after the store last confirmed its
-    /// leadership.
-    pub confirmation_timeout: Duration,
+    /// How long a leader keeps renewing leases after the begin of the last write that the store has
+    /// confirmed.
+    pub renewal_window: Duration,
     /// How long the state of a job is kept after the job has ended.
     pub retention: Duration,
 }
@@ -71,6 +73,7 @@
     /// Most processors of any entry that has been the leader.
     max_leader_cores: CoreCount,
     took_over_at: MonoTime,
+    leases: LeaseBook,
     jobs: BTreeMap<JobCode, JobState>,
     /// Jobs that were cancelled before the job itself was read.
     early_cancels: EarlyCancels,
@@ -134,6 +137,7 @@
             cores: CoreCount::default(),
             max_leader_cores: CoreCount::default(),
             took_over_at: now,
+            leases: LeaseBook::new(&timeouts, now),
             jobs: BTreeMap::new(),
             early_cancels: EarlyCancels::default(),
             vms: BTreeMap::new(),
@@ -178,6 +182,13 @@
         self
     }
 
+    /// Waits for the leases that earlier leaders promised, and grants those that the row of the
+    /// takeover promises, which is the first one of this leader.
+    pub fn with_promises(mut self, earlier: LeasePromise, own: LeasePromise) -> Self {
+        self.leases = LeaseBook::with_promises(earlier, own);
+        self
+    }
+
     /// Publishes the earlier leader's queue loads until enough VMs have reported.
     pub fn with_loads(mut self, loads: Vec<v1::QueueLoad>) -> Self {
         self.loads = loads;
@@ -269,7 +280,6 @@
 
     /// Adds the attempts of a restored job to their VMs.
     fn restore_attempts(&mut self, code: JobCode) {
-        let earlier_leases_end_at = self.earlier_leases_end_at();
         let Some(job) = self.jobs.get(&code) else {
             return;
         };
@@ -287,10 +297,12 @@
             })
             .collect();
         for (key, attempt) in attempts {
+            let name = attempt.location.vm.clone();
+            let earlier_end = self.leases.earlier_end_on(&name);
             let vm = self
                 .vms
-                .entry(attempt.location.vm.clone())
-                .or_insert_with(|| VmState::new(self.took_over_at, earlier_leases_end_at));
+                .entry(name)
+                .or_insert_with(|| VmState::new(self.took_over_at, earlier_end));
             vm.attempts.insert(key, attempt);
         }
     }
@@ -353,12 +365,6 @@
         std::mem::take(&mut self.pending_updates)
     }
 
-    /// Returns when all leases have expired that an earlier leader may have renewed.
-    fn earlier_leases_end_at(&self) -> MonoTime {
-        let renewed_at = self.took_over_at.after(self.timeouts.confirmation_timeout);
-        renewed_at.after(self.timeouts.lease.earlier_wait())
-    }
-
     /// Returns whether the state of a job has been kept long enough to be deleted.
     fn is_expired(&self, job: &JobState, now: WallTime) -> bool {
         job.ended_at
--- a/crates/turmeric-jobs/src/scheduler/commit.rs
+++ b/crates/turmeric-jobs/src/scheduler/commit.rs
@@ -11,7 +11,7 @@
 use super::JobScheduler;
 use super::refusals::{RowChoice, RowOwner};
 use crate::progress_rows::{ProgressPart, WriteRoom};
-use crate::{JobCode, StoreBounds};
+use crate::{JobCode, LeasePromise, StoreBounds};
 
 /// Most jobs written in one transaction.
 const JOB_LIMIT: usize = 60;
@@ -116,7 +116,8 @@
 
     /// Returns when the next write is due.
     pub fn commit_due(&self) -> MonoTime {
-        let interval = if self.dirty.is_empty() && !self.is_releasing {
+        let is_idle = self.dirty.is_empty() && self.leases.withheld.is_empty();
+        let interval = if is_idle && !self.is_releasing {
             HEARTBEAT_INTERVAL
         } else {
             COMMIT_INTERVAL
@@ -148,10 +149,12 @@
             parts.map(move |part| (code, part))
         };
         let forgotten_parts = forgotten.iter().flat_map(parts_of).collect();
+        let promise = self.promise_leases(now);
+        self.leases.pending = Some(promise.clone());
         Some(CommitPlan {
             headroom: self.take_headroom(&choice, now),
             sequence: self.commit_sequence,
-            leader_row: self.leader_row(now, wall).encode_to_vec(),
+            leader_row: self.leader_row(&promise, now, wall).encode_to_vec(),
             progress: batch.progress,
             parts: batch.parts,
             forgotten,
@@ -238,9 +241,15 @@
         batch
     }
 
-    fn leader_row(&mut self, now: MonoTime, wall: WallTime) -> v1::LeaderRow {
-        let room = self.bounds.value_bytes.saturating_sub(LEADER_ROW_OVERHEAD);
-        v1::LeaderRow {
+    fn leader_row(
+        &mut self,
+        promise: &LeasePromise,
+        now: MonoTime,
+        wall: WallTime,
+    ) -> v1::LeaderRow {
+        let overhead = LEADER_ROW_OVERHEAD + promise.row_bytes();
+        let room = self.bounds.value_bytes.saturating_sub(overhead);
+        let mut row = v1::LeaderRow {
             epoch: self.epoch,
             sequence: self.commit_sequence,
             holder: self.holder.clone(),
@@ -251,7 +260,10 @@
             holder_millicores: self.cores.as_millicores(),
             early_cancels: self.early_cancels.len() as u32,
             strongest_millicores: self.max_leader_cores.max(self.cores).as_millicores(),
-        }
+            ..v1::LeaderRow::default()
+        };
+        promise.write(&mut row, now);
+        row
     }
 
     /// Records that the store has committed the transaction.
@@ -261,6 +273,8 @@
         self.record_accepted(plan);
         // The answer may have been on its way while this entry was suspended, and replaced.
         self.confirmed_at = plan.begun_at;
+        self.leases.confirm();
+        self.grant_withheld(now);
         for (code, revision) in &plan.revisions {
             if let Some(job) = self.jobs.get_mut(code) {
                 job.recorded_revision = *revision;
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -5,6 +5,7 @@
 use turmeric_types::{MonoTime, WallTime};
 
 use super::JobScheduler;
+use super::leases::ReportGrant;
 use super::notes::{EvictionCause, JobEvent, LossCause};
 use super::suspicion::FailedAttempt;
 use super::vm::{VmAttempt, VmState};
@@ -55,23 +56,23 @@
     /// Handles a report of an agent.
     pub fn handle_report(&mut self, report: VmReport, now: MonoTime, wall: WallTime) {
         let name = report.vm.clone();
-        let earlier_leases_end_at = self.earlier_leases_end_at();
-        let lease_end = now.after(
-            report
-                .lease_wait
-                .unwrap_or(self.timeouts.lease.earlier_wait()),
-        );
+        let earlier_end = self.leases.earlier_end_on(&name);
+        let earlier_wait = self.timeouts.lease.earlier_wait();
+        let lease_wait = report.lease_wait.unwrap_or(earlier_wait);
         let knows_leader = report.epoch == self.epoch;
         let vm = self
             .vms
             .entry(name.clone())
-            .or_insert_with(|| VmState::new(now, earlier_leases_end_at));
+            .or_insert_with(|| VmState::new(now, earlier_end));
         if knows_leader && !vm.knows_leader {
             vm.knows_leader = true;
-            vm.leases_end_at = vm.leases_end_at.max(lease_end);
+            vm.leases_end_at = vm.leases_end_at.max(now.after(lease_wait));
         }
+        vm.lease_wait = Some(lease_wait);
+        self.leases.withheld.remove(&name);
         vm.zone.clone_from(&report.zone);
         vm.reported_at = now;
+        vm.stamp_millis = None;
         vm.lease_stamp_millis = None;
         vm.is_ready = false;
         self.pending_updates.insert(name.clone());
@@ -119,11 +120,15 @@
         }
         if let Some(vm) = self.vms.get_mut(&name) {
             vm.is_ready = knows_leader;
-            // The leases of a worker that does not answer are not renewed, so that they expire.
-            if !report.is_unresponsive {
-                vm.lease_stamp_millis = Some(report.stamp_millis);
-                vm.leases_end_at = vm.leases_end_at.max(lease_end);
-            }
+            vm.stamp_millis = Some(report.stamp_millis);
+        }
+        // The leases of a worker that does not answer are not renewed, so that they expire.
+        if !report.is_unresponsive {
+            let grant = ReportGrant {
+                stamp_millis: report.stamp_millis,
+                lease_end: now.after(lease_wait),
+            };
+            self.grant_lease(&name, grant, now);
         }
     }
 
--- /dev/null
+++ b/crates/turmeric-jobs/src/scheduler/leases.rs
@@ -0,0 +1,123 @@
+//! Grants leases, as far as the leader's row in the store promises them.
+
+use std::collections::BTreeMap;
+
+use turmeric_types::MonoTime;
+
+use super::vm::{REPORT_TIMEOUT, VmState};
+use super::{JobScheduler, LeaderTimeouts};
+use crate::LeasePromise;
+
+/// Part of the bytes of the leader's row that VMs without leases may take.
+const EXPIRING_DIVISOR: usize = 4;
+
+/// A lease that counts from a report.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReportGrant {
+    /// The agent's clock in the report, in milliseconds.
+    pub(super) stamp_millis: u64,
+    /// When the lease has certainly expired.
+    pub(super) lease_end: MonoTime,
+}
+
+/// Promises about leases of this leader and of the earlier ones.
+#[derive(Clone, Debug)]
+pub(super) struct LeaseBook {
+    /// What the earlier leaders promised.
+    earlier: LeasePromise,
+    /// Promise of the last row that the store has confirmed.
+    confirmed: LeasePromise,
+    /// Promise of a row that may be in the store already.
+    pub(super) pending: Option<LeasePromise>,
+    /// Grants that no row covers yet, by VM.
+    pub(super) withheld: BTreeMap<String, ReportGrant>,
+}
+
+impl LeaseBook {
+    /// Creates the book of a leader that knows nothing of the earlier ones.
+    pub(super) fn new(timeouts: &LeaderTimeouts, now: MonoTime) -> Self {
+        let earlier = LeasePromise::unknown(&timeouts.lease, now);
+        let own = earlier.take_over(&timeouts.lease, timeouts.renewal_window, now);
+        Self::with_promises(earlier, own)
+    }
+
+    pub(super) fn with_promises(earlier: LeasePromise, own: LeasePromise) -> Self {
+        Self {
+            earlier,
+            confirmed: own,
+            pending: None,
+            withheld: BTreeMap::new(),
+        }
+    }
+
+    /// Returns when the leases of earlier leaders on a VM have expired.
+    pub(super) fn earlier_end_on(&self, vm: &str) -> MonoTime {
+        self.earlier.end_on(vm)
+    }
+
+    /// Returns whether whichever row is in the store covers a lease.
+    fn covers(&self, vm: &str, end: MonoTime) -> bool {
+        let mut rows = std::iter::once(&self.confirmed).chain(&self.pending);
+        rows.all(|promise| promise.covers(vm, end))
+    }
+
+    /// Records that the row of the last write is in the store.
+    pub(super) fn confirm(&mut self) {
+        if let Some(promise) = self.pending.take() {
+            self.confirmed = promise;
+        }
+    }
+}
+
+impl JobScheduler {
+    /// Grants a lease, or withholds it until a row covers it.
+    pub(super) fn grant_lease(&mut self, name: &str, grant: ReportGrant, now: MonoTime) {
+        let is_covered = !self.is_releasing && self.leases.covers(name, grant.lease_end);
+        let Some(vm) = self.vms.get_mut(name).filter(|_| is_covered) else {
+            self.leases.withheld.insert(name.to_owned(), grant);
+            return;
+        };
+        vm.lease_stamp_millis = Some(grant.stamp_millis);
+        vm.leases_end_at = vm.leases_end_at.max(grant.lease_end);
+        vm.granted_at = now;
+    }
+
+    /// Grants the leases that the confirmed row covers.
+    pub(super) fn grant_withheld(&mut self, now: MonoTime) {
+        for (name, grant) in std::mem::take(&mut self.leases.withheld) {
+            self.grant_lease(&name, grant, now);
+            if !self.leases.withheld.contains_key(&name) {
+                self.pending_updates.insert(name);
+            }
+        }
+    }
+
+    /// Returns what the next row promises. Leases are renewed on VMs that report, and on others they
+    /// expire.
+    ///
+    /// Load pattern: a VM is gone, and one entry after another takes over. Each of them waits for
+    /// the leases on that VM, but not for those that the one before granted on the others.
+    pub(super) fn promise_leases(&self, now: MonoTime) -> LeasePromise {
+        let is_expiring = |name: &str, vm: &VmState| {
+            !vm.attempts.is_empty()
+                && now > vm.granted_at.after(REPORT_TIMEOUT)
+                && !self.leases.withheld.contains_key(name)
+        };
+        let renewed = || {
+            let vms = self.vms.iter();
+            vms.filter(|(name, vm)| !is_expiring(name, vm))
+        };
+        let known_end = renewed().map(|(_, vm)| vm.all_leases_end_at()).max();
+        let mut ends_at = known_end.unwrap_or(now).max(now);
+        if !self.is_releasing {
+            let waits = renewed().filter_map(|(_, vm)| vm.lease_wait);
+            let longest = waits.chain([self.timeouts.lease.wait()]).max();
+            let window = self.timeouts.renewal_window + longest.unwrap_or_default();
+            ends_at = ends_at.max(now.after(window));
+        }
+        let expiring = self.vms.iter().filter(|(name, vm)| is_expiring(name, vm));
+        let expiring = expiring.map(|(name, vm)| (name.clone(), vm.all_leases_end_at()));
+        let limit = self.bounds.value_bytes / EXPIRING_DIVISOR;
+        LeasePromise::new(ends_at).with_expiring(expiring, limit)
+    }
+}
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -96,6 +96,7 @@
                 suspect: state.crashes.is_suspect && !step.is_gang,
             });
         }
+        let stamp = vm.stamp_millis.unwrap_or_default();
         let incarnation = vm.info.as_ref().map(|info| info.incarnation.clone());
         let incarnation = incarnation.unwrap_or_default();
         Some(v1::VmOrders {
@@ -109,6 +110,7 @@
             sequence,
             store_silence_millis: now.since(self.confirmed_at).as_millis() as u64,
             gains: self.interference(name),
+            answered_millis: stamp,
         })
     }
 
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -14,7 +14,7 @@
 
 /// No task is placed on a VM whose agent has sent no report for this long; agents report
 /// every 400 ms.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(1500);
+pub(super) const REPORT_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Most ends that may wait behind one whose effect the store refuses to record. A worker lists
 /// 500 ends at a time, and later ones would be missed.
@@ -186,14 +186,19 @@
     pub(crate) link: u64,
     /// When the agent's last report arrived.
     pub(crate) reported_at: MonoTime,
-    /// The agent's clock in its last report, in milliseconds, if a lease may count from that
-    /// report.
+    /// The agent's clock in its last report, in milliseconds, if the agent had fenced the worker.
+    pub(crate) stamp_millis: Option<u64>,
+    /// The same if a lease counts from that report.
     pub(crate) lease_stamp_millis: Option<u64>,
     /// When all leases on the VM that this leader knows of have expired.
     pub(crate) leases_end_at: MonoTime,
     /// The same for those that an earlier leader may have granted, as long as the agent does not
     /// know this leader.
     pub(crate) earlier_leases_end_at: MonoTime,
+    /// When this leader last granted a lease; the takeover before the first one.
+    pub(crate) granted_at: MonoTime,
+    /// How long a lease granted to the agent may last; [`None`] before its first report.
+    pub(crate) lease_wait: Option<Duration>,
     /// The agent knows this leader, so no other leader renews its leases.
     pub(crate) knows_leader: bool,
     /// Attempts that may be running on the VM.
@@ -228,9 +233,12 @@
             unresponsive_since: None,
             link: 0,
             reported_at: now,
+            stamp_millis: None,
             lease_stamp_millis: None,
             leases_end_at: now,
             earlier_leases_end_at,
+            granted_at: now,
+            lease_wait: None,
             knows_leader: false,
             attempts: BTreeMap::new(),
             expired: Vec::new(),
--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -263,6 +263,7 @@
 #[case::two_places(WorldFault::ShortLease, "runs in two places")]
 #[case::overfilled(WorldFault::CapacityLie, "is overfilled")]
 #[case::forgotten(WorldFault::ForgetProgress, "")]
+#[case::ignored_promise(WorldFault::IgnoredPromise, "runs in two places")]
 #[case::hasty_expiry(WorldFault::HastyExpiry, "runs in two places")]
 #[case::started_again(WorldFault::ForgetAttempts, "started after its end was recorded")]
 #[case::unknown_limits(WorldFault::UnknownLimits, "a row has")]
