Reserve space for long-running tasks that leave draining endpoints

A task of a draining endpoint was evicted when another VM had free capacity, but nothing kept that capacity while the task stopped, which takes 0.2 s to 0.9 s. With finite tasks waiting, the next round of placement gave it to one of them, and the moved task had no VM. Two tasks of one step could also be evicted for a VM that may take one more of them, since the first choice was not counted for the second.

The eviction now makes the reservation that consolidation uses, until the task is placed, its job has ended or 3 s have passed. The choice counts reserved tasks, so the limit of a step holds as well. If the target leaves or shrinks, other space is reserved. MOVE_LIMIT counts the moves of consolidation only. Finite tasks with checkpoints are evicted as before, after the long-running ones and without a reservation; suspected tasks and VMs get no reservation, since placement isolates them. An attempt that is to end anyway is not evicted.

All five tests in tests/draining.rs (six cases) failed before: a finite task was placed at once in four of them, eight instead of two with consolidation, and both tasks of a step were evicted for one place. With the limit counting all moves, the test with consolidation fails too.

--- a/crates/turmeric-jobs/src/scheduler/consolidate.rs
+++ b/crates/turmeric-jobs/src/scheduler/consolidate.rs
@@ -55,10 +55,9 @@
     /// Clears the VMs with the least serving work whose tasks fit on other VMs with serving
     /// tasks.
     pub(super) fn consolidate(&mut self, now: MonoTime) {
-        self.expire_reservations(now);
         if self.policies.consolidation == ConsolidationPolicy::None
             || now < self.consolidation_due
-            || self.moves.len() >= MOVE_LIMIT
+            || self.consolidation_moves() >= MOVE_LIMIT
         {
             return;
         }
@@ -92,7 +91,7 @@
             if self.begin_moves(&source, moves, now) {
                 self.consolidation_offset = 0;
             }
-            if self.moves.len() >= MOVE_LIMIT {
+            if self.consolidation_moves() >= MOVE_LIMIT {
                 return;
             }
         }
--- a/crates/turmeric-jobs/src/scheduler/moves.rs
+++ b/crates/turmeric-jobs/src/scheduler/moves.rs
@@ -10,7 +10,8 @@
 use super::vm::VmState;
 use crate::{AttemptKey, StepSpec, TaskName, VmCapacity};
 
-/// Most tasks that are on their way to another VM at one time.
+/// Most tasks that consolidation moves at one time. Tasks of draining endpoints do not count: all
+/// of them must move before their endpoints leave.
 pub(super) const MOVE_LIMIT: usize = 8;
 
 /// The space reserved for a moved task is released after this time: the longest time that a
@@ -25,6 +26,10 @@
 pub(super) struct MoveReservation {
     /// The VM that the task is moved to.
     pub(super) vm: String,
+    /// The VM that the task is moved from.
+    source: String,
+    /// Why the task is moved.
+    cause: EvictionCause,
     /// When the space is released if the task was not placed.
     deadline: MonoTime,
 }
@@ -38,10 +43,66 @@
 }
 
 impl JobScheduler {
-    /// Releases the space reserved for tasks that were not placed in time.
+    /// Releases the space reserved for tasks that were not placed in time or whose job has ended.
     pub(super) fn expire_reservations(&mut self, now: MonoTime) {
+        let jobs = &self.jobs;
+        let is_open = |task: &TaskName| {
+            let job = jobs.get(&task.job);
+            job.is_some_and(|job| !job.phase.is_terminal())
+        };
         self.moves
-            .retain(|_, reservation| now < reservation.deadline);
+            .retain(|task, reservation| now < reservation.deadline && is_open(task));
+    }
+
+    /// Evicts an attempt and reserves space on another VM for its task.
+    pub(super) fn begin_move(
+        &mut self,
+        source: &str,
+        key: AttemptKey,
+        target: String,
+        cause: EvictionCause,
+        now: MonoTime,
+    ) {
+        if self.evict(source, key, cause) {
+            let reservation = MoveReservation {
+                vm: target,
+                source: source.to_owned(),
+                cause,
+                deadline: now.after(MOVE_TIMEOUT),
+            };
+            self.moves.insert(key.task, reservation);
+        }
+    }
+
+    /// Returns how many tasks consolidation is moving.
+    pub(super) fn consolidation_moves(&self) -> usize {
+        self.count_moves(EvictionCause::Consolidated)
+    }
+
+    /// Returns how many tasks are being moved for a cause.
+    pub(super) fn count_moves(&self, cause: EvictionCause) -> usize {
+        let moves = self.moves.values();
+        moves
+            .filter(|reservation| reservation.cause == cause)
+            .count()
+    }
+
+    /// Reserves other space for tasks of draining endpoints whose VM has become unavailable.
+    pub(super) fn replace_lost_targets(&mut self, fleet: &mut FleetCapacity, now: MonoTime) {
+        let lost = self.moves.iter().filter(|(task, reservation)| {
+            reservation.cause == EvictionCause::Draining && !fleet.reserved.contains_key(task)
+        });
+        let lost: Vec<(TaskName, String)> = lost
+            .map(|(task, reservation)| (*task, reservation.source.clone()))
+            .collect();
+        for (task, source) in lost {
+            let target = self
+                .choose_target(&source, &task, &mut fleet.vms, now)
+                .filter(|target| self.may_reserve(&task, target, now));
+            if let (Some(target), Some(reservation)) = (target, self.moves.get_mut(&task)) {
+                reservation.vm = target;
+            }
+        }
     }
 
     /// Evicts the tasks that may be moved now; the others follow in a later round.
@@ -55,21 +116,10 @@
     ) -> bool {
         let mut has_begun = false;
         for (key, target) in moves {
-            if self.moves.len() >= MOVE_LIMIT || !self.is_step_complete(&key.task) {
+            if self.consolidation_moves() >= MOVE_LIMIT || !self.is_step_complete(&key.task) {
                 continue;
             }
-            let vm = self.vms.get_mut(source);
-            let Some(attempt) = vm.and_then(|vm| vm.attempts.get_mut(&key)) else {
-                continue;
-            };
-            attempt.is_evicted = true;
-            let reservation = MoveReservation {
-                vm: target,
-                deadline: now.after(MOVE_TIMEOUT),
-            };
-            self.moves.insert(key.task, reservation);
-            self.record_eviction(source, key, EvictionCause::Consolidated);
-            self.pending_updates.insert(source.to_owned());
+            self.begin_move(source, key, target, EvictionCause::Consolidated, now);
             has_begun = true;
         }
         has_begun
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -8,12 +8,14 @@
 //! that has been slowed to less than half of its speed for a while is stopped with a
 //! checkpoint and placed again, which costs it the restore time of 0.25 s to 0.6 s.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use turmeric_types::MonoTime;
 
 use super::JobScheduler;
 use super::notes::{EvictionCause, JobEvent};
+use super::vm::VmState;
 use crate::{AttemptKey, PlacementRequest, TaskName, VmCapacity, choose_vm};
 
 /// A best-effort task is moved after it has been slowed for this long.
@@ -49,19 +51,36 @@
         if slowed.is_empty() {
             return;
         }
-        let mut capacities = self.open_capacities(now);
+        let mut capacities = self.fleet_capacity(now).vms;
         let mut evicted = 0;
         for (name, key) in slowed {
-            if evicted < EVICTION_LIMIT && self.evict_if_placeable(&name, key, &mut capacities) {
+            if evicted < EVICTION_LIMIT
+                && self
+                    .choose_target(&name, &key.task, &mut capacities, now)
+                    .is_some()
+                && self.evict(&name, key, EvictionCause::Slowed)
+            {
                 evicted += 1;
                 self.avoided
-                    .insert(key.task, (name.clone(), now.after(AVOID_DURATION)));
-                self.record_eviction(&name, key, EvictionCause::Slowed);
-                self.pending_updates.insert(name);
+                    .insert(key.task, (name, now.after(AVOID_DURATION)));
             }
         }
     }
 
+    /// Marks an attempt as evicted, so that the next orders for its VM stop it.
+    ///
+    /// Returns whether the attempt is known.
+    pub(super) fn evict(&mut self, name: &str, key: AttemptKey, cause: EvictionCause) -> bool {
+        let vm = self.vms.get_mut(name);
+        let Some(attempt) = vm.and_then(|vm| vm.attempts.get_mut(&key)) else {
+            return false;
+        };
+        attempt.is_evicted = true;
+        self.record_eviction(name, key, cause);
+        self.pending_updates.insert(name.to_owned());
+        true
+    }
+
     pub(super) fn record_eviction(&mut self, name: &str, key: AttemptKey, cause: EvictionCause) {
         self.events.push(JobEvent::Evicted {
             key,
@@ -70,56 +89,71 @@
         });
     }
 
-    /// Evicts tasks from draining endpoints, as far as other VMs have free capacity.
+    /// Evicts tasks from draining endpoints, as far as other VMs have free capacity. The capacity
+    /// found for a long-running task is reserved until the task is placed.
+    ///
+    /// Load pattern: the fleet is full and finite tasks wait. One of them would take the capacity
+    /// while the long-running task stops, which takes up to 0.9 s.
     pub(super) fn evict_draining(&mut self, now: MonoTime) {
+        let is_draining = |vm: &VmState| vm.info.as_ref().is_some_and(|info| info.is_draining);
         let draining: Vec<(String, AttemptKey)> = self
             .vms
             .iter()
-            .filter(|(_, vm)| vm.is_ready && vm.info.as_ref().is_some_and(|info| info.is_draining))
+            .filter(|(_, vm)| vm.is_ready && is_draining(vm))
             .flat_map(|(name, vm)| {
-                let attempts = vm
-                    .attempts
-                    .iter()
-                    .filter(|(_, attempt)| !attempt.is_evicted);
-                attempts.map(|(key, _)| (name.clone(), *key))
+                let attempts = vm.attempts.iter();
+                // No space is sought for an attempt that is to end anyway.
+                let wanted = attempts.filter(|(key, attempt)| self.is_wanted(key, attempt));
+                wanted.map(|(key, _)| (name.clone(), *key))
             })
             .collect();
-        if draining.is_empty() {
+        if draining.is_empty() && self.count_moves(EvictionCause::Draining) == 0 {
             return;
         }
-        let mut capacities = self.open_capacities(now);
-        for (name, key) in draining {
-            if self.evict_if_placeable(&name, key, &mut capacities) {
-                self.record_eviction(&name, key, EvictionCause::Draining);
-                self.pending_updates.insert(name);
+        let mut fleet = self.fleet_capacity(now);
+        self.replace_lost_targets(&mut fleet, now);
+        // Tasks with checkpoints get what the long-running tasks leave.
+        let (long_running, others): (Vec<_>, Vec<_>) = draining
+            .into_iter()
+            .partition(|(_, key)| self.is_long_running(key));
+        for (name, key) in long_running.into_iter().chain(others) {
+            let Some(target) = self.choose_target(&name, &key.task, &mut fleet.vms, now) else {
+                continue;
+            };
+            if self.is_long_running(&key) && self.may_reserve(&key.task, &target, now) {
+                self.begin_move(&name, key, target, EvictionCause::Draining, now);
+            } else {
+                self.evict(&name, key, EvictionCause::Draining);
             }
         }
     }
 
-    /// Returns the free capacity of each VM on which tasks may be placed.
-    fn open_capacities(&self, now: MonoTime) -> Vec<VmCapacity> {
-        self.fleet_capacity(now).vms.into_values().collect()
+    /// Returns whether space on a VM may be reserved for a task of a draining endpoint.
+    ///
+    /// Suspected tasks and VMs are left to placement, which isolates them.
+    pub(super) fn may_reserve(&self, task: &TaskName, target: &str, now: MonoTime) -> bool {
+        let state = self.jobs.get(&task.job).and_then(|job| job.tasks.get(task));
+        let is_suspect_task = state.is_some_and(|state| state.crashes.is_suspect);
+        let vm = self.vms.get(target);
+        let is_suspect_vm = vm.is_some_and(|vm| vm.suspicion.is_suspect(now));
+        !is_suspect_task && !is_suspect_vm
     }
 
-    /// Marks an attempt as evicted if another VM has free capacity for its task.
-    ///
-    /// Returns whether it did so.
-    fn evict_if_placeable(
-        &mut self,
-        name: &str,
-        key: AttemptKey,
-        capacities: &mut [VmCapacity],
-    ) -> bool {
-        let Some(job) = self.jobs.get(&key.task.job) else {
-            return false;
-        };
-        let Some(step) = job.spec.steps.get(key.task.step as usize) else {
-            return false;
-        };
+    /// Chooses another VM with free capacity for a task that may be evicted from a VM, and
+    /// accounts for the task there.
+    pub(super) fn choose_target(
+        &self,
+        source: &str,
+        task: &TaskName,
+        capacities: &mut BTreeMap<String, VmCapacity>,
+        now: MonoTime,
+    ) -> Option<String> {
+        let job = self.jobs.get(&task.job)?;
+        let step = job.spec.steps.get(task.step as usize)?;
         // Without checkpoints, eviction would discard the work done so far.
         let is_evictable = step.checkpoints || step.is_long_running;
         if !is_evictable || step.is_gang {
-            return false;
+            return None;
         }
         let request = PlacementRequest {
             service: self.service(job),
@@ -127,24 +161,18 @@
             table: &self.headroom,
             is_starved: false,
         };
-        let others = capacities.iter().filter(|capacity| capacity.vm != name);
+        let avoided = self.avoided_vm(task, now);
+        let others = capacities
+            .values()
+            .filter(|capacity| capacity.vm != source && avoided != Some(capacity.vm.as_str()));
         let found = choose_vm(&request, others, |vm| {
-            self.count_step(vm, &key.task.first_of_step())
+            self.count_step(vm, &task.first_of_step())
         });
-        let Some(found) = found.map(|capacity| capacity.vm.clone()) else {
-            return false;
-        };
-        if let Some(capacity) = capacities.iter_mut().find(|capacity| capacity.vm == found) {
-            capacity.add(&key.task, step, &self.headroom);
+        let target = found?.vm.clone();
+        if let Some(capacity) = capacities.get_mut(&target) {
+            capacity.add(task, step, &self.headroom);
         }
-        if let Some(attempt) = self
-            .vms
-            .get_mut(name)
-            .and_then(|vm| vm.attempts.get_mut(&key))
-        {
-            attempt.is_evicted = true;
-        }
-        true
+        Some(target)
     }
 
     /// Returns the VM that a task was recently evicted from and must not return to yet.
--- /dev/null
+++ b/crates/turmeric-jobs/tests/draining.rs
@@ -0,0 +1,387 @@
+//! Moves of tasks off endpoints that have announced their end, in a fleet with little free capacity.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rstest::rstest;
+use turmeric_jobs::{
+    AttemptEnd, AttemptKey, AttemptStatus, ConsolidationPolicy, EndKind, EndpointIncarnation,
+    EndpointInfo, JobCode, JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, PolicySet,
+    QueuePolicy, StepSpec, VmReport, read_key,
+};
+use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
+
+/// Time between two reports of an agent, in milliseconds.
+const REPORT_MILLIS: u64 = 400;
+
+/// Longest time that a worker takes to stop a task, in milliseconds.
+const STOP_MILLIS: u64 = 900;
+
+fn resources(cores: u64) -> ResourceSet {
+    ResourceSet::new(
+        CoreCount::from_millicores(cores * 1000),
+        MemorySize::new(cores << 30),
+        AcceleratorCount::new(0),
+    )
+}
+
+/// A VM, of which the leader sees only the reports.
+#[derive(Clone, Default)]
+struct SceneVm {
+    cores: u64,
+    is_draining: bool,
+    is_unresponsive: bool,
+    running: BTreeSet<AttemptKey>,
+    ends: Vec<AttemptEnd>,
+}
+
+/// A leader and VMs that report, start and end tasks when a test says so.
+struct DrainScene {
+    leader: JobScheduler,
+    vms: BTreeMap<&'static str, SceneVm>,
+    now: u64,
+}
+
+impl DrainScene {
+    fn new(vms: &[(&'static str, u64)]) -> Self {
+        let timeouts = LeaderTimeouts {
+            lease: LeaseLimits::new(Duration::from_secs(6)),
+            confirmation_timeout: Duration::from_secs(12),
+            retention: Duration::from_secs(120),
+        };
+        let at = MonoTime::from_millis(1_000);
+        let new_vm = |(name, cores): &(&'static str, u64)| {
+            let vm = SceneVm {
+                cores: *cores,
+                ..SceneVm::default()
+            };
+            (*name, vm)
+        };
+        let mut scene = Self {
+            leader: JobScheduler::new(timeouts, 1, "e".to_owned(), String::new(), at),
+            vms: vms.iter().map(new_vm).collect(),
+            now: 1_000,
+        };
+        scene.report_all();
+        scene
+    }
+
+    /// Adds a VM with nothing on it.
+    fn add_vm(&mut self, name: &'static str, cores: u64) {
+        let vm = SceneVm {
+            cores,
+            ..SceneVm::default()
+        };
+        self.vms.insert(name, vm);
+        self.report(name);
+    }
+
+    fn mono(&self) -> MonoTime {
+        MonoTime::from_millis(self.now)
+    }
+
+    fn wall(&self) -> WallTime {
+        WallTime::from_millis(self.now)
+    }
+
+    fn submit(&mut self, number: u64, step: StepSpec) -> JobCode {
+        self.submit_with_priority(number, 0, step)
+    }
+
+    fn submit_with_priority(&mut self, number: u64, priority: u32, step: StepSpec) -> JobCode {
+        let code = JobCode::new(number);
+        let spec = JobSpec {
+            queue: QueuePolicy {
+                service: "s".to_owned(),
+                priority,
+                ..QueuePolicy::default()
+            },
+            accepted_at: self.wall(),
+            text: String::new(),
+            steps: vec![step],
+            repeat: None,
+        };
+        self.leader.add_job(code, spec, self.wall());
+        code
+    }
+
+    /// Lets time pass; the store confirms a write then.
+    fn pass(&mut self, millis: u64) {
+        self.now += millis;
+        self.commit();
+    }
+
+    fn commit(&mut self) {
+        let (now, wall) = (self.mono(), self.wall());
+        if let Some(plan) = self.leader.begin_commit(now, wall) {
+            self.leader.commit_done(&plan, now);
+        }
+    }
+
+    fn tick(&mut self) {
+        self.leader.tick(self.mono());
+    }
+
+    fn place(&mut self) -> usize {
+        self.leader.place(self.mono(), self.wall())
+    }
+
+    fn report(&mut self, name: &str) {
+        let vm = &self.vms[name];
+        let report = VmReport {
+            vm: name.to_owned(),
+            zone: "morava-a".to_owned(),
+            epoch: 1,
+            stamp_millis: self.now,
+            endpoint_info: Some(EndpointInfo {
+                incarnation: EndpointIncarnation {
+                    endpoint: name.to_owned(),
+                    started_at_millis: 1,
+                },
+                service: "s".to_owned(),
+                is_draining: vm.is_draining,
+                capacity: resources(vm.cores),
+                labels: Vec::new(),
+            }),
+            is_synced: true,
+            is_terminated: false,
+            is_unresponsive: vm.is_unresponsive,
+            attempts: vm.running.iter().map(|key| status(*key)).collect(),
+            ends: vm.ends.clone(),
+            refused: Vec::new(),
+            applied_orders: 0,
+            crash: None,
+            headroom: None,
+            has_more_ends: false,
+            lease_wait: None,
+        };
+        let (now, wall) = (self.mono(), self.wall());
+        self.leader.handle_report(report, now, wall);
+    }
+
+    fn report_all(&mut self) {
+        for name in self.vms.keys().copied().collect::<Vec<_>>() {
+            self.report(name);
+        }
+    }
+
+    /// Places what waits, and starts it on the VMs.
+    fn start(&mut self) {
+        self.place();
+        self.pass(700);
+        for name in self.vms.keys().copied().collect::<Vec<_>>() {
+            let running = self.kept(name);
+            self.vms.get_mut(name).unwrap().running = running;
+        }
+        self.report_all();
+    }
+
+    /// Returns the attempts that the leader's orders for a VM list.
+    fn kept(&mut self, name: &str) -> BTreeSet<AttemptKey> {
+        let orders = self.leader.orders(name, self.mono()).unwrap();
+        let keys = orders.keep.iter().map(|key| read_key(Some(key)).unwrap());
+        keys.collect()
+    }
+
+    /// Returns the jobs of which the leader's orders for a VM list attempts.
+    fn kept_jobs(&mut self, name: &str) -> Vec<JobCode> {
+        let kept = self.kept(name);
+        kept.iter().map(|key| key.task.job).collect()
+    }
+
+    fn drain(&mut self, name: &str) {
+        self.vms.get_mut(name).unwrap().is_draining = true;
+        self.report(name);
+    }
+
+    /// Ends all attempts of a job on a VM, and reports it.
+    fn end(&mut self, name: &str, job: JobCode, kind: EndKind) {
+        let vm = self.vms.get_mut(name).unwrap();
+        let ended = vm.running.iter().copied();
+        for key in ended.filter(|key| key.task.job == job).collect::<Vec<_>>() {
+            vm.running.remove(&key);
+            vm.ends.push(AttemptEnd {
+                number: vm.ends.len() as u64 + 1,
+                key,
+                kind,
+                checkpoint: String::new(),
+            });
+        }
+        self.report(name);
+    }
+}
+
+fn status(key: AttemptKey) -> AttemptStatus {
+    AttemptStatus {
+        key,
+        checkpoint: String::new(),
+        percent: 100,
+        pace: 100,
+        is_confirmed: true,
+    }
+}
+
+fn finite() -> StepSpec {
+    StepSpec {
+        count: 1,
+        need: resources(1),
+        estimate: Duration::from_secs(5),
+        ..StepSpec::default()
+    }
+}
+
+fn long_running() -> StepSpec {
+    StepSpec {
+        is_long_running: true,
+        ..finite()
+    }
+}
+
+/// A long-running task on VM `a`, which is full, and VM `b` with `cores` free.
+fn scene_with_room(cores: u64) -> (DrainScene, JobCode) {
+    let mut scene = DrainScene::new(&[("a", 1)]);
+    let lasting = scene.submit(1, long_running());
+    scene.pass(200);
+    scene.start();
+    assert_eq!(scene.kept_jobs("a"), [lasting]);
+    scene.add_vm("b", cores);
+    (scene, lasting)
+}
+
+/// Guards against a finite task that takes the room while the moved task stops.
+#[test]
+fn room_for_a_moved_task_is_kept_while_it_stops() {
+    let (mut scene, lasting) = scene_with_room(1);
+    scene.drain("a");
+    scene.tick();
+    assert_eq!(scene.kept_jobs("a"), []);
+    scene.submit(2, finite());
+    let mut passed = 0;
+    while passed < STOP_MILLIS {
+        assert_eq!(scene.place(), 0, "after {passed} ms");
+        scene.pass(50);
+        scene.report_all();
+        scene.tick();
+        passed += 50;
+    }
+    scene.end("a", lasting, EndKind::Stopped);
+    assert_eq!(scene.place(), 1);
+    scene.pass(REPORT_MILLIS);
+    assert_eq!(scene.kept_jobs("b"), [lasting]);
+}
+
+/// Guards against room that stays empty because a task does not stop, or its job was cancelled.
+#[rstest]
+#[case::never_stops(false, 3_000)]
+#[case::cancelled(true, 50)]
+fn room_that_is_no_longer_needed_goes_to_others(#[case] is_cancelled: bool, #[case] within: u64) {
+    let (mut scene, lasting) = scene_with_room(1);
+    scene.drain("a");
+    scene.tick();
+    scene.submit(2, finite());
+    assert_eq!(scene.place(), 0);
+    if is_cancelled {
+        let wall = scene.wall();
+        scene.leader.cancel_job(lasting, wall);
+    }
+    for _ in 0..within / 50 {
+        scene.pass(50);
+        scene.report_all();
+        scene.tick();
+    }
+    assert_eq!(scene.place(), 1);
+}
+
+/// Guards against room that is kept on a VM that leaves as well.
+#[test]
+fn other_room_is_chosen_when_the_target_leaves() {
+    let (mut scene, lasting) = scene_with_room(1);
+    scene.drain("a");
+    scene.tick();
+    scene.add_vm("c", 1);
+    scene.drain("b");
+    scene.submit(2, finite());
+    scene.tick();
+    assert_eq!(scene.place(), 0);
+    scene.end("a", lasting, EndKind::Stopped);
+    assert_eq!(scene.place(), 1);
+    scene.pass(REPORT_MILLIS);
+    assert_eq!(scene.kept_jobs("c"), [lasting]);
+}
+
+/// Guards against a limit on moves that leaves tasks on the endpoint, or that holds up
+/// consolidation.
+#[test]
+fn moves_off_draining_endpoints_and_consolidation_do_not_limit_each_other() {
+    let mut scene = DrainScene::new(&[("a", 36)]);
+    scene.leader = scene.leader.with_policies(PolicySet {
+        consolidation: ConsolidationPolicy::ClearVms,
+        ..PolicySet::default()
+    });
+    // Their memory fits only on `a` and `b`, and fills them.
+    let lasting = StepSpec {
+        count: 12,
+        need: ResourceSet {
+            memory: MemorySize::new(3 << 30),
+            ..resources(1)
+        },
+        ..long_running()
+    };
+    scene.submit(1, lasting);
+    scene.pass(200);
+    scene.start();
+    assert_eq!(scene.kept("a").len(), 12);
+
+    // The serving tasks of `c` and `d` fit on one of the two once `c` has grown.
+    let serving = StepSpec {
+        need: resources(2),
+        image: Some("i".to_owned()),
+        latency_target_millis: Some(50),
+        away_limit: 1,
+        ..long_running()
+    };
+    let mut serving_jobs = Vec::new();
+    for (number, name, cores) in [(2, "c", 2), (3, "d", 4)] {
+        scene.add_vm(name, cores);
+        serving_jobs.push(scene.submit(number, serving.clone()));
+        scene.pass(200);
+        scene.start();
+    }
+    scene.vms.get_mut("c").unwrap().cores = 4;
+    scene.add_vm("b", 36);
+    scene.drain("a");
+    scene.report_all();
+    scene.tick();
+    assert_eq!(scene.kept("a").len(), 0);
+    let kept = [scene.kept_jobs("c"), scene.kept_jobs("d")].concat();
+    assert_eq!(kept.len(), 1, "one VM is cleared");
+    assert!(serving_jobs.contains(&kept[0]));
+    let many = StepSpec {
+        count: 8,
+        ..finite()
+    };
+    scene.submit(4, many);
+    assert_eq!(scene.place(), 2, "only the VM that is cleared has room");
+}
+
+/// Guards against two tasks of a step that are moved to a VM that may take one more of them.
+#[test]
+fn no_task_is_moved_beyond_the_limit_of_its_step() {
+    let mut scene = DrainScene::new(&[("a", 3), ("b", 1)]);
+    let step = StepSpec {
+        count: 3,
+        vm_limit: Some(2),
+        ..long_running()
+    };
+    scene.submit(1, step);
+    scene.pass(200);
+    scene.start();
+    assert_eq!((scene.kept("a").len(), scene.kept("b").len()), (2, 1));
+    scene.vms.get_mut("b").unwrap().cores = 3;
+    scene.report("b");
+    scene.drain("a");
+    scene.tick();
+    assert_eq!(scene.kept("a").len(), 1);
+}
