Evict nothing on a VM that no order reaches

A VM stays ready for as long as its last report was a good one, however old it is, and an agent whose worker does not answer may still be synchronized. The order to stop reaches no task there, so such an eviction moves nothing and holds space on another VM. A task on a silent VM also counted as stalled or slowed, although nobody reported its progress.

Draining, slowed and stalled attempts are now evicted only on a VM that is reachable, as placement requires of its targets. Consolidation and preemption choose among such VMs already.

The two tests (six cases) failed before: the orders for the VM no longer listed the attempt.

--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -402,7 +402,7 @@
     fn evict_stalled(&mut self, now: MonoTime) {
         for (name, vm) in &mut self.vms {
             // An attempt whose end is not listed yet makes no progress.
-            if !vm.is_ready || vm.has_more_ends {
+            if !vm.is_ready || !vm.is_reachable(now) || vm.has_more_ends {
                 continue;
             }
             let mut stalled = Vec::new();
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -35,7 +35,7 @@
         let slowed: Vec<(String, AttemptKey)> = self
             .vms
             .iter()
-            .filter(|(_, vm)| vm.is_ready)
+            .filter(|(_, vm)| vm.is_ready && vm.is_reachable(now))
             .flat_map(|(name, vm)| {
                 vm.attempts
                     .iter()
@@ -99,7 +99,7 @@
         let draining: Vec<(String, AttemptKey)> = self
             .vms
             .iter()
-            .filter(|(_, vm)| vm.is_ready && is_draining(vm))
+            .filter(|(_, vm)| vm.is_ready && vm.is_reachable(now) && is_draining(vm))
             .flat_map(|(name, vm)| {
                 let attempts = vm.attempts.iter();
                 // No space is sought for an attempt that is to end anyway.
--- a/crates/turmeric-jobs/tests/draining.rs
+++ b/crates/turmeric-jobs/tests/draining.rs
@@ -19,6 +19,9 @@
 /// Longest time that a worker takes to stop a task, in milliseconds.
 const STOP_MILLIS: u64 = 900;
 
+/// Time without reports after which a VM does not count as reachable, in milliseconds.
+const SILENCE_MILLIS: u64 = 1_600;
+
 fn resources(cores: u64) -> ResourceSet {
     ResourceSet::new(
         CoreCount::from_millicores(cores * 1000),
@@ -28,15 +31,30 @@
 }
 
 /// A VM, of which the leader sees only the reports.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 struct SceneVm {
     cores: u64,
     is_draining: bool,
     is_unresponsive: bool,
+    /// Pace of its tasks, in percent of their full speed.
+    pace: u32,
     running: BTreeSet<AttemptKey>,
     ends: Vec<AttemptEnd>,
 }
 
+impl SceneVm {
+    fn new(cores: u64) -> Self {
+        Self {
+            cores,
+            is_draining: false,
+            is_unresponsive: false,
+            pace: 100,
+            running: BTreeSet::new(),
+            ends: Vec::new(),
+        }
+    }
+}
+
 /// A leader and VMs that report, start and end tasks when a test says so.
 struct DrainScene {
     leader: JobScheduler,
@@ -52,13 +70,7 @@
             retention: Duration::from_secs(120),
         };
         let at = MonoTime::from_millis(1_000);
-        let new_vm = |(name, cores): &(&'static str, u64)| {
-            let vm = SceneVm {
-                cores: *cores,
-                ..SceneVm::default()
-            };
-            (*name, vm)
-        };
+        let new_vm = |(name, cores): &(&'static str, u64)| (*name, SceneVm::new(*cores));
         let mut scene = Self {
             leader: JobScheduler::new(timeouts, 1, "e".to_owned(), String::new(), at),
             vms: vms.iter().map(new_vm).collect(),
@@ -70,11 +82,7 @@
 
     /// Adds a VM with nothing on it.
     fn add_vm(&mut self, name: &'static str, cores: u64) {
-        let vm = SceneVm {
-            cores,
-            ..SceneVm::default()
-        };
-        self.vms.insert(name, vm);
+        self.vms.insert(name, SceneVm::new(cores));
         self.report(name);
     }
 
@@ -148,7 +156,7 @@
             is_synced: true,
             is_terminated: false,
             is_unresponsive: vm.is_unresponsive,
-            attempts: vm.running.iter().map(|key| status(*key)).collect(),
+            attempts: vm.running.iter().map(|key| status(*key, vm.pace)).collect(),
             ends: vm.ends.clone(),
             refused: Vec::new(),
             applied_orders: 0,
@@ -213,12 +221,12 @@
     }
 }
 
-fn status(key: AttemptKey) -> AttemptStatus {
+fn status(key: AttemptKey, pace: u32) -> AttemptStatus {
     AttemptStatus {
         key,
         checkpoint: String::new(),
         percent: 100,
-        pace: 100,
+        pace,
         is_confirmed: true,
     }
 }
@@ -385,3 +393,48 @@
     scene.tick();
     assert_eq!(scene.kept("a").len(), 1);
 }
+
+/// Guards against evictions that move nothing: the order to stop does not reach the task.
+#[rstest]
+#[case::silent_agent(long_running(), true)]
+#[case::silent_worker(long_running(), false)]
+#[case::checkpoints_and_silent_agent(StepSpec { checkpoints: true, ..finite() }, true)]
+#[case::checkpoints_and_silent_worker(StepSpec { checkpoints: true, ..finite() }, false)]
+fn nothing_is_evicted_where_no_order_arrives(#[case] step: StepSpec, #[case] is_agent: bool) {
+    let mut scene = DrainScene::new(&[("a", 1)]);
+    let code = scene.submit(1, step);
+    scene.pass(200);
+    scene.start();
+    scene.drain("a");
+    scene.tick();
+    if is_agent {
+        scene.pass(SILENCE_MILLIS / 2);
+        scene.pass(SILENCE_MILLIS / 2);
+    } else {
+        scene.vms.get_mut("a").unwrap().is_unresponsive = true;
+        scene.report("a");
+    }
+    scene.add_vm("b", 1);
+    scene.tick();
+    scene.place();
+    assert_eq!(scene.kept_jobs("a"), [code]);
+}
+
+/// Guards against a task that counts as stalled or slowed because nobody reports its progress.
+#[rstest]
+#[case::stalled(finite(), 100)]
+#[case::slowed(StepSpec { checkpoints: true, is_best_effort: true, ..finite() }, 40)]
+fn task_of_a_silent_vm_is_not_evicted_for_its_pace(#[case] step: StepSpec, #[case] pace: u32) {
+    let mut scene = DrainScene::new(&[("a", 1)]);
+    let code = scene.submit(1, step);
+    scene.pass(200);
+    scene.start();
+    scene.vms.get_mut("a").unwrap().pace = pace;
+    scene.report("a");
+    for _ in 0..6 {
+        scene.pass(500);
+    }
+    scene.add_vm("b", 1);
+    scene.tick();
+    assert_eq!(scene.kept_jobs("a"), [code]);
+}
