Offer free capacity to tasks of draining endpoints first

Placement runs as soon as an end is reported, and hands out what is free before the next tick looks for tasks to evict.

A round of placement now decides first which long-running tasks leave their draining endpoints and reserves the space for them. In a tick they also come before slowed tasks. Finite jobs are delayed by no more than the space of the tasks on draining endpoints; tasks of jobs that have ended need none. Tasks with checkpoints have no such priority: they lose little work, and they are still evicted in a tick where space is left.

The first two tests (three cases) failed before: the finite tasks were placed instead. The third, on cancelled jobs, fails if draining attempts are not limited to those that should run.

--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -387,8 +387,8 @@
         // An evicted task resumes elsewhere only after the store has recorded its new attempt.
         if self.may_evict(now) {
             self.evict_stalled(now);
-            self.evict_slowed(now);
             self.evict_draining(now);
+            self.evict_slowed(now);
             self.consolidate(now);
         }
     }
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -79,6 +79,11 @@
         if self.is_releasing {
             return 0;
         }
+        // What has become free goes first to the long-running tasks of draining endpoints: they may
+        // be gone 2 s after their notice, while a finite task only waits for the next end.
+        if self.may_evict(now) {
+            self.move_long_running(now);
+        }
         let FleetCapacity {
             vms: capacities,
             reserved,
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -89,38 +89,42 @@
         });
     }
 
-    /// Evicts tasks from draining endpoints, as far as other VMs have free capacity. The capacity
-    /// found for a long-running task is reserved until the task is placed.
+    /// Evicts tasks from draining endpoints, as far as other VMs have free capacity. Tasks with
+    /// checkpoints get what the long-running tasks leave.
+    pub(super) fn evict_draining(&mut self, now: MonoTime) {
+        self.move_long_running(now);
+        let mut draining = self.draining_attempts(now);
+        draining.retain(|(_, key)| !self.is_long_running(key));
+        if draining.is_empty() {
+            return;
+        }
+        let mut capacities = self.fleet_capacity(now).vms;
+        for (name, key) in draining {
+            let target = self.choose_target(&name, &key.task, &mut capacities, now);
+            if target.is_some() {
+                self.evict(&name, key, EvictionCause::Draining);
+            }
+        }
+    }
+
+    /// Evicts long-running tasks from draining endpoints, and reserves the capacity found for
+    /// each of them until it is placed.
     ///
     /// Load pattern: the fleet is full and finite tasks wait. One of them would take the capacity
     /// while the long-running task stops, which takes up to 0.9 s.
-    pub(super) fn evict_draining(&mut self, now: MonoTime) {
-        let is_draining = |vm: &VmState| vm.info.as_ref().is_some_and(|info| info.is_draining);
-        let draining: Vec<(String, AttemptKey)> = self
-            .vms
-            .iter()
-            .filter(|(_, vm)| vm.is_ready && vm.is_reachable(now) && is_draining(vm))
-            .flat_map(|(name, vm)| {
-                let attempts = vm.attempts.iter();
-                // No space is sought for an attempt that is to end anyway.
-                let wanted = attempts.filter(|(key, attempt)| self.is_wanted(key, attempt));
-                wanted.map(|(key, _)| (name.clone(), *key))
-            })
-            .collect();
+    pub(super) fn move_long_running(&mut self, now: MonoTime) {
+        let mut draining = self.draining_attempts(now);
+        draining.retain(|(_, key)| self.is_long_running(key));
         if draining.is_empty() && self.count_moves(EvictionCause::Draining) == 0 {
             return;
         }
         let mut fleet = self.fleet_capacity(now);
         self.replace_lost_targets(&mut fleet, now);
-        // Tasks with checkpoints get what the long-running tasks leave.
-        let (long_running, others): (Vec<_>, Vec<_>) = draining
-            .into_iter()
-            .partition(|(_, key)| self.is_long_running(key));
-        for (name, key) in long_running.into_iter().chain(others) {
+        for (name, key) in draining {
             let Some(target) = self.choose_target(&name, &key.task, &mut fleet.vms, now) else {
                 continue;
             };
-            if self.is_long_running(&key) && self.may_reserve(&key.task, &target, now) {
+            if self.may_reserve(&key.task, &target, now) {
                 self.begin_move(&name, key, target, EvictionCause::Draining, now);
             } else {
                 self.evict(&name, key, EvictionCause::Draining);
@@ -128,6 +132,20 @@
         }
     }
 
+    /// Returns the attempts on draining endpoints that can be stopped and are not to end anyway.
+    fn draining_attempts(&self, now: MonoTime) -> Vec<(String, AttemptKey)> {
+        let is_draining = |vm: &VmState| vm.info.as_ref().is_some_and(|info| info.is_draining);
+        self.vms
+            .iter()
+            .filter(|(_, vm)| vm.is_ready && vm.is_reachable(now) && is_draining(vm))
+            .flat_map(|(name, vm)| {
+                let attempts = vm.attempts.iter();
+                let wanted = attempts.filter(|(key, attempt)| self.is_wanted(key, attempt));
+                wanted.map(|(key, _)| (name.clone(), *key))
+            })
+            .collect()
+    }
+
     /// Returns whether space on a VM may be reserved for a task of a draining endpoint.
     ///
     /// Suspected tasks and VMs are left to placement, which isolates them.
--- a/crates/turmeric-jobs/tests/draining.rs
+++ b/crates/turmeric-jobs/tests/draining.rs
@@ -438,3 +438,57 @@
     scene.tick();
     assert_eq!(scene.kept_jobs("a"), [code]);
 }
+
+/// Guards against a fleet that is full all the time: what an end frees is taken by the next finite
+/// task in the same round, so that no task leaves the endpoint before it is gone.
+#[rstest]
+#[case::equal_priority(0)]
+#[case::finite_first(1)]
+fn capacity_that_becomes_free_goes_to_tasks_of_draining_endpoints_first(#[case] priority: u32) {
+    let mut scene = DrainScene::new(&[("a", 1)]);
+    let lasting = scene.submit_with_priority(1, priority, long_running());
+    scene.pass(200);
+    scene.start();
+    scene.add_vm("b", 1);
+    let first = scene.submit(2, finite());
+    scene.start();
+    assert_eq!(scene.kept_jobs("b"), [first]);
+    let second = scene.submit(3, finite());
+    scene.drain("a");
+    scene.tick();
+    assert_eq!(scene.kept_jobs("a"), [lasting], "no room yet");
+
+    scene.pass(50);
+    scene.end("b", first, EndKind::Done);
+    assert_eq!(scene.place(), 0, "the finite task waits");
+    assert_eq!(scene.kept_jobs("a"), []);
+    scene.pass(STOP_MILLIS);
+    scene.report_all();
+    scene.end("a", lasting, EndKind::Stopped);
+    assert_eq!(scene.place(), 1);
+    scene.pass(REPORT_MILLIS);
+    assert_eq!(scene.kept_jobs("b"), [lasting]);
+    assert!(scene.leader.job(second).is_some());
+}
+
+/// Guards against room that is kept from finite tasks beyond what the moved tasks need.
+#[test]
+fn finite_tasks_get_all_room_that_moved_tasks_do_not_need() {
+    let (mut scene, _) = scene_with_room(3);
+    for number in 2..6 {
+        scene.submit(number, finite());
+    }
+    scene.drain("a");
+    assert_eq!(scene.place(), 2);
+}
+
+/// Guards against room that is kept for a task of a cancelled job that still runs.
+#[test]
+fn task_of_a_cancelled_job_takes_no_room() {
+    let (mut scene, lasting) = scene_with_room(1);
+    let wall = scene.wall();
+    scene.leader.cancel_job(lasting, wall);
+    scene.submit(2, finite());
+    scene.drain("a");
+    assert_eq!(scene.place(), 1);
+}
