Keep evicted attempts on VMs that stop reporting

A task that had been evicted from a draining endpoint stayed marked after its VM had stopped reporting or its worker had stopped answering. The space reserved for it could not be used before the lease on the VM had expired, and was released after 3 s in any case. When the VM reported again, the leader still ordered the task to stop, although the space had gone to another task by then, so that the task ran nowhere.

--- a/crates/turmeric-jobs/tests/draining.rs
+++ b/crates/turmeric-jobs/tests/draining.rs
@@ -492,3 +492,33 @@
     scene.drain("a");
     assert_eq!(scene.place(), 1);
 }
+
+/// Guards against a task that is stopped when its VM reports again, although the room that was found
+/// for it has gone to another task.
+#[rstest]
+#[case::silent_agent(true)]
+#[case::silent_worker(false)]
+fn task_that_was_not_moved_in_time_is_kept(#[case] is_agent: bool) {
+    let (mut scene, lasting) = scene_with_room(1);
+    scene.drain("a");
+    scene.tick();
+    assert_eq!(scene.kept_jobs("a"), []);
+    let finite = scene.submit(2, finite());
+    scene.vms.get_mut("a").unwrap().is_unresponsive = !is_agent;
+    for _ in 0..SILENCE_MILLIS / 100 {
+        scene.pass(100);
+        if !is_agent {
+            scene.report("a");
+        }
+        scene.report("b");
+        scene.tick();
+    }
+    assert_eq!(scene.place(), 1, "the room is released");
+    scene.pass(REPORT_MILLIS);
+    assert_eq!(scene.kept_jobs("b"), [finite]);
+    scene.vms.get_mut("a").unwrap().is_unresponsive = false;
+    scene.report("a");
+    scene.tick();
+    assert_eq!(scene.place(), 0);
+    assert_eq!(scene.kept_jobs("a"), [lasting]);
+}
