--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -388,11 +388,13 @@
             }
             self.lose_all(&name);
         }
+        self.expire_reservations(now);
+        self.revoke_moves(now);
         // An evicted task resumes elsewhere only after the store has recorded its new attempt.
         if self.may_evict(now) {
             self.evict_stalled(now);
-            self.evict_slowed(now);
             self.evict_draining(now);
+            self.evict_slowed(now);
             self.consolidate(now);
         }
     }
@@ -406,7 +408,7 @@
     fn evict_stalled(&mut self, now: MonoTime) {
         for (name, vm) in &mut self.vms {
             // An attempt whose end is not listed yet makes no progress.
-            if !vm.is_ready || vm.has_more_ends {
+            if !vm.is_ready || !vm.is_reachable(now) || vm.has_more_ends {
                 continue;
             }
             let mut stalled = Vec::new();
