Add FAILING tests of recovery after takeovers to the model

One, two or three takeovers, seen or unseen, up to 6 s after a VM is lost. Its long-running tasks must run again within 9 s of their last run.

--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -608,12 +608,14 @@
 /// Rounds after the last event in which lost tasks must have run again: more than the bound.
 const RECOVERY_ROUNDS: usize = 320;
 
-/// The loss of a VM that runs long-running tasks.
+/// The loss of a VM that runs long-running tasks, beside takeovers.
 #[derive(Clone, Debug)]
 struct LossPlan {
     accepted: Duration,
     drains_before: bool,
     order: RemovalOrder,
+    /// Takeovers, each with the round after the loss in which it happens, in ascending order.
+    takeovers: Vec<(usize, WorldEvent)>,
 }
 
 impl LossPlan {
@@ -622,11 +624,17 @@
             accepted,
             drains_before,
             order,
+            takeovers: Vec::new(),
         }
     }
 
+    fn with_takeovers(mut self, takeovers: Vec<(usize, WorldEvent)>) -> Self {
+        self.takeovers = takeovers;
+        self
+    }
+
     /// Removes the VM with the most long-running tasks for good while the others have room for
-    /// them.
+    /// them, and lets the takeovers follow.
     fn play(&self, fault: Option<WorldFault>) -> Result<World, TestCaseError> {
         let mut world = World::with_fault(fault).with_leases(self.accepted);
         // By then no lease of an earlier leader counts any more.
@@ -644,6 +652,11 @@
         };
         let notice = if self.drains_before { 40 } else { 0 };
         play(&mut world, &[removal, rounds(notice)])?;
+        let mut passed = 0;
+        for (round, takeover) in &self.takeovers {
+            play(&mut world, &[rounds(round - passed), takeover.clone()])?;
+            passed = *round;
+        }
         play(&mut world, &[rounds(RECOVERY_ROUNDS)])?;
         Ok(world)
     }
@@ -701,6 +714,52 @@
     assert!(!world.late_tasks().is_empty());
 }
 
+fn takeover(entry: usize, is_unseen: bool) -> WorldEvent {
+    if is_unseen {
+        WorldEvent::TakeOverUnseen(entry)
+    } else {
+        WorldEvent::TakeOver(entry)
+    }
+}
+
+/// Guards against leaders that wait from their takeover for leases that an earlier leader granted
+/// to a VM that is gone.
+#[rstest]
+#[case::one_takeover_with_the_loss(&[0])]
+#[case::one_takeover_1_s_after_the_loss(&[20])]
+#[case::one_takeover_3_s_after_the_loss(&[60])]
+#[case::one_takeover_6_s_after_the_loss(&[120])]
+#[case::two_takeovers_with_the_loss(&[0, 4])]
+#[case::two_takeovers_up_to_6_s_after_the_loss(&[20, 120])]
+#[case::three_takeovers_within_1_s(&[2, 10, 20])]
+#[case::three_takeovers_up_to_6_s_after_the_loss(&[0, 60, 120])]
+fn tasks_of_a_removed_vm_run_again_in_time_after_takeovers(
+    #[case] after: &[usize],
+    #[values(false, true)] are_unseen: bool,
+    #[values(0, 1, 2)] lease: usize,
+    #[values(
+        RemovalOrder::Together,
+        WORKER_FIRST,
+        silent_for_good(WorkerSilence::Mute)
+    )]
+    order: RemovalOrder,
+) {
+    // The entries take turns.
+    let takeovers = after.iter().enumerate();
+    let takeovers = takeovers.map(|(index, round)| (*round, takeover(1 - index % 2, are_unseen)));
+    let plan = LossPlan::new(LEASES[lease], false, order).with_takeovers(takeovers.collect());
+    plan.check().unwrap();
+}
+
+/// Up to three takeovers within 6 s of a loss.
+fn loss_takeovers() -> impl Strategy<Value = Vec<(usize, WorldEvent)>> {
+    let takeovers = proptest::collection::vec((0..=120_usize, takeover_event()), 1..=3);
+    takeovers.prop_map(|mut takeovers| {
+        takeovers.sort_by_key(|(round, _)| *round);
+        takeovers
+    })
+}
+
 fn loss_plan() -> impl Strategy<Value = LossPlan> {
     let lease = 0..LEASES.len();
     (lease, any::<bool>(), removal_order()).prop_map(|(lease, drains_before, order)| {
@@ -781,6 +840,15 @@
         plan.check()?;
     }
 
+    /// Guards against waits for leases that begin again with a takeover, seen or unseen.
+    #[test]
+    fn tasks_of_any_removed_vm_run_again_in_time_after_takeovers(
+        plan in loss_plan(),
+        takeovers in loss_takeovers(),
+    ) {
+        plan.with_takeovers(takeovers).check()?;
+    }
+
     /// Guards against jobs that run although they were cancelled before their rows appear.
     #[test]
     fn job_that_was_cancelled_before_its_row_appears_never_starts(
