Keep evicted attempts on VMs that stop reporting

A task that had been evicted from a draining endpoint stayed marked after its VM had stopped reporting or its worker had stopped answering. When the VM reported again, the leader still ordered the task to stop, although the space had gone to another task by then, so that the task ran nowhere.

When a VM is no longer reachable, the marks on its moved and draining attempts are now removed and the space is released. The attempt counts as running until its end is reported or its lease has expired, as before, so its task is not placed meanwhile. If the VM reports again, the attempt is evicted where space is left.

--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -384,6 +384,7 @@
             self.lose_all(&name);
         }
         self.expire_reservations(now);
+        self.revoke_moves(now);
         // An evicted task resumes elsewhere only after the store has recorded its new attempt.
         if self.may_evict(now) {
             self.evict_stalled(now);
--- a/crates/turmeric-jobs/src/scheduler/moves.rs
+++ b/crates/turmeric-jobs/src/scheduler/moves.rs
@@ -54,6 +54,32 @@
             .retain(|task, reservation| now < reservation.deadline && is_open(task));
     }
 
+    /// Keeps the attempts that are to leave a VM that no order reaches any longer, and releases the
+    /// space reserved for their tasks.
+    ///
+    /// Such an attempt may not have been stopped, and its task can't be placed before its lease has
+    /// expired. If the VM reports again, the attempt is evicted anew where there is space for it.
+    pub(super) fn revoke_moves(&mut self, now: MonoTime) {
+        for (name, vm) in &mut self.vms {
+            if vm.is_reachable(now) {
+                continue;
+            }
+            let is_draining = vm.info.as_ref().is_some_and(|info| info.is_draining);
+            let evicted = vm.attempts.iter_mut();
+            for (key, attempt) in evicted.filter(|(_, attempt)| attempt.is_evicted) {
+                let reservation = self.moves.get(&key.task);
+                let is_moved = reservation.is_some_and(|reservation| reservation.source == *name);
+                if is_moved {
+                    self.moves.remove(&key.task);
+                }
+                if is_moved || is_draining {
+                    attempt.is_evicted = false;
+                    self.pending_updates.insert(name.clone());
+                }
+            }
+        }
+    }
+
     /// Evicts an attempt and reserves space on another VM for its task.
     pub(super) fn begin_move(
         &mut self,
--- a/crates/turmeric-jobs/tests/draining.rs
+++ b/crates/turmeric-jobs/tests/draining.rs
@@ -492,3 +492,76 @@
     scene.drain("a");
     assert_eq!(scene.place(), 1);
 }
+
+/// Guards against a task that is stopped when its VM reports again, although the room that was found
+/// for it has gone to another task.
+#[rstest]
+#[case::silent_agent(true)]
+#[case::silent_worker(false)]
+fn task_that_was_not_moved_in_time_is_kept(#[case] is_agent: bool) {
+    let (mut scene, lasting) = scene_with_room(1);
+    scene.drain("a");
+    scene.tick();
+    assert_eq!(scene.kept_jobs("a"), []);
+    let finite = scene.submit(2, finite());
+    scene.vms.get_mut("a").unwrap().is_unresponsive = !is_agent;
+    for _ in 0..SILENCE_MILLIS / 100 {
+        scene.pass(100);
+        if !is_agent {
+            scene.report("a");
+        }
+        scene.report("b");
+        scene.tick();
+    }
+    assert_eq!(scene.place(), 1, "the room is released");
+    scene.pass(REPORT_MILLIS);
+    assert_eq!(scene.kept_jobs("b"), [finite]);
+    scene.vms.get_mut("a").unwrap().is_unresponsive = false;
+    scene.report("a");
+    scene.tick();
+    assert_eq!(scene.place(), 0);
+    assert_eq!(scene.kept_jobs("a"), [lasting]);
+}
+
+/// Guards against the same for a task that consolidation moves.
+#[test]
+fn consolidated_task_of_a_silent_vm_is_kept() {
+    let mut scene = DrainScene::new(&[]);
+    scene.leader = scene.leader.with_policies(PolicySet {
+        consolidation: ConsolidationPolicy::ClearVms,
+        ..PolicySet::default()
+    });
+    let serving = StepSpec {
+        need: resources(2),
+        image: Some("i".to_owned()),
+        latency_target_millis: Some(50),
+        away_limit: 1,
+        ..long_running()
+    };
+    for (number, name, cores) in [(1, "c", 2), (2, "d", 4)] {
+        scene.add_vm(name, cores);
+        scene.submit(number, serving.clone());
+        scene.pass(200);
+        scene.start();
+    }
+    scene.vms.get_mut("c").unwrap().cores = 4;
+    scene.report_all();
+    scene.tick();
+    let is_source = scene.kept("c").is_empty();
+    let (source, target) = if is_source { ("c", "d") } else { ("d", "c") };
+    assert_eq!(scene.kept(source).len(), 0, "a VM is cleared");
+    for _ in 0..SILENCE_MILLIS / 100 {
+        scene.pass(100);
+        scene.report(target);
+        scene.tick();
+    }
+    let other = StepSpec {
+        need: resources(2),
+        ..finite()
+    };
+    scene.submit(3, other);
+    assert_eq!(scene.place(), 1, "the room is released");
+    scene.report(source);
+    scene.tick();
+    assert_eq!(scene.kept(source).len(), 1);
+}
