--- a/crates/turmeric-jobs/tests/draining.rs
+++ b/crates/turmeric-jobs/tests/draining.rs
@@ -522,3 +522,46 @@
     assert_eq!(scene.place(), 0);
     assert_eq!(scene.kept_jobs("a"), [lasting]);
 }
+
+/// Guards against the same for a task that consolidation moves.
+#[test]
+fn consolidated_task_of_a_silent_vm_is_kept() {
+    let mut scene = DrainScene::new(&[]);
+    scene.leader = scene.leader.with_policies(PolicySet {
+        consolidation: ConsolidationPolicy::ClearVms,
+        ..PolicySet::default()
+    });
+    let serving = StepSpec {
+        need: resources(2),
+        image: Some("i".to_owned()),
+        latency_target_millis: Some(50),
+        away_limit: 1,
+        ..long_running()
+    };
+    for (number, name, cores) in [(1, "c", 2), (2, "d", 4)] {
+        scene.add_vm(name, cores);
+        scene.submit(number, serving.clone());
+        scene.pass(200);
+        scene.start();
+    }
+    scene.vms.get_mut("c").unwrap().cores = 4;
+    scene.report_all();
+    scene.tick();
+    let is_source = scene.kept("c").is_empty();
+    let (source, target) = if is_source { ("c", "d") } else { ("d", "c") };
+    assert_eq!(scene.kept(source).len(), 0, "a VM is cleared");
+    for _ in 0..SILENCE_MILLIS / 100 {
+        scene.pass(100);
+        scene.report(target);
+        scene.tick();
+    }
+    let other = StepSpec {
+        need: resources(2),
+        ..finite()
+    };
+    scene.submit(3, other);
+    assert_eq!(scene.place(), 1, "the room is released");
+    scene.report(source);
+    scene.tick();
+    assert_eq!(scene.kept(source).len(), 1);
+}
