Place nothing on a VM whose agent shuts down

Change: a stopping agent reports it at once, and its VM gets no more tasks until an agent is back.

Measured: nothing_is_placed_on_a_vm_whose_agent_stops; tests of lease_waits pass.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -207,6 +207,7 @@
         lease_left_ms = lease_left.unwrap_or_default().as_millis() as u64
     });
     state.core().table.set_stopping();
+    state.report_due.notify_one();
     state.command_due.notify_one();
     tokio::time::sleep(STOP_GRACE).await;
     info!("agent stopped");
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -536,6 +536,7 @@
             headroom: None,
             has_more_ends,
             lease_wait: None,
+            is_stopping: self.is_stopping,
         }
     }
 
--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -191,6 +191,8 @@
     /// Time after the report at which all leases at the worker have expired, the one included that
     /// counts from the report; [`None`] from an earlier version of the agent.
     pub lease_wait: Option<Duration>,
+    /// The agent is shutting down and starts nothing more.
+    pub is_stopping: bool,
 }
 
 /// Encodes the key of an attempt as a message.
@@ -235,6 +237,7 @@
             crash: self.crash.as_ref().map(write_crash),
             has_more_ends: self.has_more_ends,
             lease_wait_millis: self.lease_wait.unwrap_or_default().as_millis() as u64,
+            stopping: self.is_stopping,
         }
     }
 
@@ -283,6 +286,7 @@
             has_more_ends: message.has_more_ends,
             lease_wait: (message.lease_wait_millis > 0)
                 .then(|| Duration::from_millis(message.lease_wait_millis)),
+            is_stopping: message.stopping,
         })
     }
 }
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -119,7 +119,7 @@
             self.headroom.record_sample(sample, now);
         }
         if let Some(vm) = self.vms.get_mut(&name) {
-            vm.is_ready = knows_leader;
+            vm.is_ready = knows_leader && !report.is_stopping;
             vm.stamp_millis = Some(report.stamp_millis);
         }
         // The leases of a worker that does not answer are not renewed, so that they expire.
--- a/crates/turmeric-jobs/tests/draining.rs
+++ b/crates/turmeric-jobs/tests/draining.rs
@@ -164,6 +164,7 @@
             headroom: None,
             has_more_ends: false,
             lease_wait: None,
+            is_stopping: false,
         };
         let (now, wall) = (self.mono(), self.wall());
         self.leader.handle_report(report, now, wall);
--- a/crates/turmeric-jobs/tests/lease_waits.rs
+++ b/crates/turmeric-jobs/tests/lease_waits.rs
@@ -331,3 +331,18 @@
     scene.leader.orders("a", scene.now).unwrap();
     assert!(scene.moved_at() > lost_at.after(Duration::from_millis(10_200)));
 }
+
+/// Guards against tasks that are placed where nothing starts them any more: an agent that shuts down
+/// refuses what it is ordered, and then leaves with what it is ordered later.
+#[test]
+fn nothing_is_placed_on_a_vm_whose_agent_stops() {
+    let mut scene = LossScene::new(LeaseLimits::new(Duration::from_secs(6)));
+    let mut report = scene.agent_report("b", false);
+    report.is_stopping = true;
+    let wall = scene.wall();
+    scene.leader.handle_report(report, scene.now, wall);
+    scene.pass(LOSS_BOUND, &[]);
+    assert_eq!(scene.vm(), None);
+    scene.pass(REPORT_INTERVAL, &[("b", false)]);
+    assert_eq!(scene.vm().as_deref(), Some("b"));
+}
