--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -240,30 +240,60 @@
             }
             (commands, incarnation, core.fence, deadline)
         };
-        for command in commands {
-            tokio::spawn(run_command(
-                Arc::clone(&state),
-                incarnation.clone(),
+        if !commands.is_empty() {
+            let calls = CommandCalls {
+                state: Arc::clone(&state),
+                incarnation,
                 fence,
                 deadline,
-                command,
-            ));
+            };
+            tokio::spawn(run_batch(calls, commands));
         }
     }
 }
 
-/// Sends one command to the worker and records the answer.
-async fn run_command(
+/// What the commands of one batch have in common.
+#[derive(Clone)]
+struct CommandCalls {
     state: Arc<AgentState>,
     incarnation: EndpointIncarnation,
     fence: u64,
+    /// Deadline of the current lease by the worker's clock, in milliseconds.
     deadline: u64,
-    command: WorkerCommand,
-) {
+}
+
+/// Sends commands to the worker; starts only right after the worker has answered in the known
+/// incarnation.
+///
+/// The clock of a worker that has restarted under its identifier begins anew. It would take the
+/// deadline of a start for the longest lease that it accepts, which nobody waits for.
+async fn run_batch(calls: CommandCalls, commands: Vec<WorkerCommand>) {
+    let is_start = |command: &WorkerCommand| matches!(command, WorkerCommand::Start(_));
+    let (starts, stops): (Vec<_>, Vec<_>) = commands.into_iter().partition(is_start);
+    for stop in stops {
+        tokio::spawn(run_command(calls.clone(), stop, true));
+    }
+    if starts.is_empty() {
+        return;
+    }
+    let is_known = answers(&calls.state, &calls.incarnation, calls.fence).await;
+    for start in starts {
+        tokio::spawn(run_command(calls.clone(), start, is_known));
+    }
+}
+
+/// Sends one command to the worker, unless it is not due, and records the answer.
+async fn run_command(calls: CommandCalls, command: WorkerCommand, is_due: bool) {
+    let CommandCalls {
+        state,
+        incarnation,
+        fence,
+        deadline,
+    } = calls;
     let (key, name, answer) = match &command {
         WorkerCommand::Start(plan) => {
-            let is_due =
-                !plan.is_suspect || answers_probe(&state, &incarnation, fence, plan.key).await;
+            let is_due = is_due
+                && (!plan.is_suspect || answers_probe(&state, &incarnation, fence, plan.key).await);
             let answer = if is_due {
                 state
                     .worker
@@ -321,6 +351,11 @@
     fence: u64,
     key: AttemptKey,
 ) -> bool {
+    answers(state, incarnation, fence).await && state.core().table.record_probe_answer(&key)
+}
+
+/// Returns whether the worker answers in the known incarnation.
+async fn answers(state: &AgentState, incarnation: &EndpointIncarnation, fence: u64) -> bool {
     let request = HoldRequest {
         fence,
         recorded_end: state.core().table.recorded_end(),
@@ -328,12 +363,10 @@
         wait: Duration::ZERO,
     };
     let answer = state.worker.hold(&incarnation.endpoint, &request).await;
-    let mut core = state.core();
     // A worker that does not state its incarnation has had no other since the last poll.
     let is_same = |born: u64| born == 0 || born == incarnation.started_at_millis;
-    core.table.incarnation() == Some(incarnation)
+    state.core().table.incarnation() == Some(incarnation)
         && matches!(answer, HoldAnswer::Lists { born, .. } if is_same(born))
-        && core.table.record_probe_answer(&key)
 }
 
 /// Returns the metric label of an answer.
--- a/crates/turmeric-jobs/src/lease.rs
+++ b/crates/turmeric-jobs/src/lease.rs
@@ -105,12 +105,13 @@
     }
 
     /// Records that the worker has accepted a new fencing token: until then, an earlier agent
-    /// may have renewed leases, of which this agent knows nothing.
+    /// may have renewed leases, of which this agent knows nothing. A deadline by the clock of an
+    /// earlier incarnation counts as the longest lease that the worker accepts.
     pub fn record_fencing(&mut self, limits: &LeaseLimits, now: MonoTime) {
         let Some(reading) = self.reading else {
             return;
         };
-        let longest = now.since(reading.received_at) + limits.wait();
+        let longest = now.since(reading.received_at) + limits.earlier_wait();
         let deadline_millis = reading
             .worker_millis
             .saturating_add(longest.as_millis() as u64);
@@ -142,10 +143,10 @@
         is_unresponsive: bool,
         now: MonoTime,
     ) -> Duration {
+        let given = self.remaining(now).unwrap_or(limits.earlier_wait());
         if !is_unresponsive {
-            return limits.wait();
+            return given.max(limits.wait());
         }
-        let given = self.remaining(now).unwrap_or(limits.wait());
         let granted = grant.map(|grant| grant.reported_at.after(limits.wait()).since(now));
         given.max(granted.unwrap_or_default())
     }
--- a/crates/turmeric-jobs/src/lease_promise.rs
+++ b/crates/turmeric-jobs/src/lease_promise.rs
@@ -1,8 +1,8 @@
 //! What the leader's row in the store promises about leases.
 //!
 //! The leader grants a lease only if the row covers it. So the next leader knows from the row when all
-//! leases have expired, whatever became of the leader before it: it adds nothing of its own, and
-//! copies into its own row what it has found.
+//! leases have expired, whatever became of the leader before it, and copies into its own row what
+//! it has found.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -71,6 +71,13 @@
         }
     }
 
+    /// Returns the promise that covers only what both cover.
+    pub(crate) fn meet(mut self, other: Self) -> Self {
+        self.ends_at = self.ends_at.min(other.ends_at);
+        self.expiring.extend(other.expiring);
+        self
+    }
+
     /// Returns when all leases on a VM have expired.
     pub fn end_on(&self, vm: &str) -> MonoTime {
         self.expiring.get(vm).copied().unwrap_or(self.ends_at)
--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -236,7 +236,10 @@
             unresponsive: self.is_unresponsive,
             crash: self.crash.as_ref().map(write_crash),
             has_more_ends: self.has_more_ends,
-            lease_wait_millis: self.lease_wait.unwrap_or_default().as_millis() as u64,
+            // Zero stands for an earlier version, which does not tell.
+            lease_wait_millis: self
+                .lease_wait
+                .map_or(0, |wait| (wait.as_millis() as u64).max(1)),
             stopping: self.is_stopping,
         }
     }
--- a/crates/turmeric-jobs/src/scheduler/commit.rs
+++ b/crates/turmeric-jobs/src/scheduler/commit.rs
@@ -64,6 +64,8 @@
     pub forgotten_parts: Vec<(JobCode, ProgressPart)>,
     /// When the write was begun.
     begun_at: MonoTime,
+    /// What the leader's row promises.
+    promise: LeasePromise,
     /// Revision of each job in `progress`.
     revisions: Vec<(JobCode, u64)>,
 }
@@ -160,6 +162,7 @@
             forgotten,
             forgotten_parts,
             begun_at: now,
+            promise,
             revisions: batch.revisions,
         })
     }
@@ -273,7 +276,7 @@
         self.record_accepted(plan);
         // The answer may have been on its way while this entry was suspended, and replaced.
         self.confirmed_at = plan.begun_at;
-        self.leases.confirm();
+        self.leases.confirm(plan.promise.clone());
         self.grant_withheld(now);
         for (code, revision) in &plan.revisions {
             if let Some(job) = self.jobs.get_mut(code) {
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -66,7 +66,8 @@
             .or_insert_with(|| VmState::new(now, earlier_end));
         if knows_leader && !vm.knows_leader {
             vm.knows_leader = true;
-            vm.leases_end_at = vm.leases_end_at.max(now.after(lease_wait));
+            let earlier_end = vm.earlier_leases_end_at.min(now.after(lease_wait));
+            vm.leases_end_at = vm.leases_end_at.max(earlier_end);
         }
         vm.lease_wait = Some(lease_wait);
         self.leases.withheld.remove(&name);
--- a/crates/turmeric-jobs/src/scheduler/leases.rs
+++ b/crates/turmeric-jobs/src/scheduler/leases.rs
@@ -32,8 +32,8 @@
     earlier: LeasePromise,
     /// Promise of the last row that the store has confirmed.
     confirmed: LeasePromise,
-    /// Promise of a row that may be in the store already.
-    pub(super) pending: Option<LeasePromise>,
+    /// What all rows promise that may be in the store already.
+    pending: Option<LeasePromise>,
     /// No row has listed the VMs that have not reported since the takeover.
     pub(super) is_first_row_due: bool,
     /// Grants that no row covers yet, by VM.
@@ -66,7 +66,11 @@
     /// Records that a row with a promise is written.
     pub(super) fn begin_row(&mut self, promise: LeasePromise) {
         self.is_first_row_due = false;
-        self.pending = Some(promise);
+        // The row of a refused write may be in the store if an earlier attempt got no answer.
+        self.pending = Some(match self.pending.take() {
+            Some(earlier) => earlier.meet(promise),
+            None => promise,
+        });
     }
 
     /// Returns when the leases of earlier leaders on a VM have expired.
@@ -80,11 +84,10 @@
         rows.all(|promise| promise.covers(vm, end))
     }
 
-    /// Records that the row of the last write is in the store.
-    pub(super) fn confirm(&mut self) {
-        if let Some(promise) = self.pending.take() {
-            self.confirmed = promise;
-        }
+    /// Records that the row with this promise is in the store.
+    pub(super) fn confirm(&mut self, promise: LeasePromise) {
+        self.pending = None;
+        self.confirmed = promise;
     }
 }
 
@@ -129,7 +132,8 @@
         let known_end = renewed().map(|(_, vm)| vm.all_leases_end_at()).max();
         let mut ends_at = known_end.unwrap_or(now).max(now);
         if !self.is_releasing {
-            let waits = renewed().filter_map(|(_, vm)| vm.lease_wait);
+            let reporting = renewed().filter(|(_, vm)| vm.is_reachable(now));
+            let waits = reporting.filter_map(|(_, vm)| vm.lease_wait);
             let longest = waits.chain([self.timeouts.lease.wait()]).max();
             let window = self.timeouts.renewal_window + longest.unwrap_or_default();
             ends_at = ends_at.max(now.after(window));
--- a/crates/turmeric-jobs/src/scheduler/refusals.rs
+++ b/crates/turmeric-jobs/src/scheduler/refusals.rs
@@ -195,7 +195,6 @@
     /// until the store has accepted them, no new attempt of its tasks is ordered.
     pub fn commit_refused(&mut self, plan: &CommitPlan, now: MonoTime) -> Option<RowOwner> {
         self.is_committing = false;
-        self.leases.pending = None;
         self.committed_at = now;
         let owners = plan.owners();
         for owner in &owners {
--- a/crates/turmeric-jobs/tests/lease_waits.rs
+++ b/crates/turmeric-jobs/tests/lease_waits.rs
@@ -346,3 +346,35 @@
     scene.pass(REPORT_INTERVAL, &[("b", false)]);
     assert_eq!(scene.vm().as_deref(), Some("b"));
 }
+
+/// Guards against rows that promise too much for the sake of an agent that has nothing left to wait
+/// for: such a report must not look like one of an earlier version.
+#[test]
+fn agent_without_leases_delays_nobody() {
+    let limits = LeaseLimits::new(Duration::from_secs(10));
+    let mut scene = LossScene::new(limits);
+    let mut report = scene.agent_report("b", true);
+    report.lease_wait = Some(Duration::ZERO);
+    let report = VmReport::read(report.write()).unwrap();
+    assert!(report.lease_wait.is_some());
+    let wall = scene.wall();
+    scene.leader.handle_report(report, scene.now, wall);
+    scene.pass(Duration::from_secs(2), &[("a", false)]);
+    let promise = LeasePromise::read(&scene.row, &limits, scene.row_written_at);
+    let longest = scene.row_written_at.after(RENEWAL_WINDOW + limits.wait());
+    assert!(promise.end_on("b") <= longest.after(Duration::from_millis(1)));
+}
+
+/// Guards against an agent that has restarted beside a dead worker: its estimate must not replace an
+/// earlier end that is known.
+#[test]
+fn report_of_a_restarted_agent_extends_no_earlier_lease() {
+    let limits = LeaseLimits::new(Duration::from_secs(10));
+    let mut scene = LossScene::new(limits);
+    scene.pass(Duration::from_secs(2), &BOTH);
+    let lost_at = scene.now;
+    scene.pass(Duration::from_secs(5), &[("b", false)]);
+    scene.take_over();
+    scene.report("a", true);
+    assert!(scene.moved_at() < lost_at.after(LOSS_BOUND));
+}
--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -751,6 +751,42 @@
     plan.check().unwrap();
 }
 
+/// Guards against two runs of one task: a worker restarts under its identifier, and takes the deadline
+/// of a start by the earlier clock for the longest lease that it accepts. Then it is cut off.
+#[rstest]
+#[case::agent_cut_off(vec![
+    SUBMIT,
+    rounds(21),
+    SUBMIT_LONG_RUNNING,
+    rounds(13),
+    SUBMIT_LONG_RUNNING,
+    rounds(2),
+    WorldEvent::SubmitSaving,
+    WorldEvent::SubmitSaving,
+    WorldEvent::Resize { worker: 0, tasks: 1 },
+    WorldEvent::RestartWorker(0),
+    rounds(3),
+    faulty_rounds(131, (0, 0), Some(0), false, 0),
+])]
+#[case::worker_silent(vec![
+    WorldEvent::Resize { worker: 1, tasks: 0 },
+    silence(0, 146, WorkerSilence::Mute),
+    rounds(1),
+    silence(1, 1, WorkerSilence::Mute),
+    rounds(130),
+    SUBMIT,
+    WorldEvent::ForgetHistory { rounds: 0 },
+    WorldEvent::RestartWorker(2),
+    rounds(2),
+    silence(2, 146, WorkerSilence::Mute),
+    rounds(145),
+])]
+fn restarted_worker_holds_no_lease_that_nobody_waits_for(#[case] events: Vec<WorldEvent>) {
+    let mut world = World::new().with_leases(LEASES[2]);
+    play(&mut world, &events).unwrap();
+    check_recovery(&mut world).unwrap();
+}
+
 /// Up to three takeovers within 6 s of a loss.
 fn loss_takeovers() -> impl Strategy<Value = Vec<(usize, WorldEvent)>> {
     let takeovers = proptest::collection::vec((0..=120_usize, takeover_event()), 1..=3);
@@ -823,6 +859,16 @@
         check_recovery(&mut world)?;
     }
 
+    /// Guards against the same where workers accept longer leases than agents give.
+    #[test]
+    fn invariants_hold_beside_removals_with_long_leases(
+        events in schedule_with_removals(event_with_removals()),
+    ) {
+        let mut world = World::new().with_leases(LEASES[2]);
+        play(&mut world, &events)?;
+        check_recovery(&mut world)?;
+    }
+
     /// Guards against reports and orders of a removed VM that arrive late.
     #[test]
     fn invariants_hold_beside_removals_while_messages_are_delayed(
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -1083,9 +1083,11 @@
             let worker = &mut self.workers[number];
             match call {
                 WorkerCommand::Start(plan) => {
-                    // A suspect is started only at a worker that answers.
-                    let is_due = !plan.is_suspect
-                        || (worker.answers(self.now) && agent.table.record_probe_answer(&plan.key));
+                    // A start is sent only to a worker that answers in the known incarnation.
+                    let is_known = agent.table.incarnation() == Some(&worker.info().incarnation);
+                    let is_due = worker.answers(self.now)
+                        && is_known
+                        && (!plan.is_suspect || agent.table.record_probe_answer(&plan.key));
                     let (answer, key) = if is_due {
                         worker.start(fence, &plan, deadline, self.now, late_at)
                     } else {
