--- a/crates/turmeric-jobs/tests/lease_waits.rs
+++ b/crates/turmeric-jobs/tests/lease_waits.rs
@@ -337,11 +337,15 @@
 #[test]
 fn nothing_is_placed_on_a_vm_whose_agent_stops() {
     let mut scene = LossScene::new(LeaseLimits::new(Duration::from_secs(6)));
-    let mut report = scene.agent_report("b", false);
-    report.is_stopping = true;
-    let wall = scene.wall();
-    scene.leader.handle_report(report, scene.now, wall);
-    scene.pass(LOSS_BOUND, &[]);
+    let end = scene.now.after(LOSS_BOUND);
+    while scene.now < end {
+        scene.now = scene.now.after(REPORT_INTERVAL);
+        let mut report = scene.agent_report("b", false);
+        report.is_stopping = true;
+        let wall = scene.wall();
+        scene.leader.handle_report(report, scene.now, wall);
+        scene.step();
+    }
     assert_eq!(scene.vm(), None);
     scene.pass(REPORT_INTERVAL, &[("b", false)]);
     assert_eq!(scene.vm().as_deref(), Some("b"));
