Log what an absent long-running task waits for

Cause: lines on waiting tasks name free capacity and excluded VMs. They do not tell space that is reserved for a task from space that is free, nor a wait for leases, a stop, a record or a start; none of them says how long a task has been away. Change: the leader reviews every 250 ms which long-running tasks that have run do not run, and in which of ten stages each is, by the checks of placement. A line names the stage once a task has been absent for over 4 s, another one the time in each stage when it runs again; a histogram counts all absences. No decision changes.

--- a/crates/turmeric-daemon/src/hosted/decision_log.rs
+++ b/crates/turmeric-daemon/src/hosted/decision_log.rs
@@ -7,7 +7,7 @@
 
 use spdlog::{info, warn};
 use turmeric_jobs::{
-    CrashEvidence, EndKind, EvictionCause, JobEvent, JobPhase, LeaseOrigin, LossCause,
+    CrashEvidence, EndKind, EvictionCause, JobEvent, JobPhase, LeaseOrigin, LossCause, RestartStage,
 };
 use turmeric_types::MonoTime;
 
@@ -125,6 +125,30 @@
                     tenure_ms = tenure.as_millis() as u64
                 });
             }
+            JobEvent::Absent {
+                task,
+                stage,
+                absence,
+            } => {
+                warn!("long-running task does not run", kv: {
+                    task = task.to_string(), stage = stage.label(),
+                    absent_ms = absence.as_millis() as u64
+                });
+            }
+            JobEvent::Resumed {
+                task,
+                absence,
+                stages,
+                is_long,
+            } => {
+                metrics.record_absence(longest_stage(&stages), absence);
+                if is_long {
+                    info!("long-running task runs again", kv: {
+                        task = task.to_string(), absent_ms = absence.as_millis() as u64,
+                        stages = describe_stages(&stages)
+                    });
+                }
+            }
             JobEvent::Ended { key, vm, kind } => {
                 count(&metrics.attempts, "ended", end_label(kind));
                 info!("attempt ended", kv: {
@@ -189,6 +213,19 @@
     }
 }
 
+/// Returns the label of the stage that took longest.
+fn longest_stage(stages: &[(RestartStage, Duration)]) -> &'static str {
+    let longest = stages.iter().max_by_key(|(_, spent)| *spent);
+    longest.map_or("", |(stage, _)| stage.label())
+}
+
+fn describe_stages(stages: &[(RestartStage, Duration)]) -> String {
+    let texts = stages
+        .iter()
+        .map(|(stage, spent)| format!("{} {} ms", stage.label(), spent.as_millis()));
+    texts.collect::<Vec<_>>().join(", ")
+}
+
 fn phase_label(phase: JobPhase) -> &'static str {
     match phase {
         JobPhase::Queued => "queued",
--- a/crates/turmeric-daemon/src/hosted/metrics.rs
+++ b/crates/turmeric-daemon/src/hosted/metrics.rs
@@ -71,6 +71,12 @@
     pub(crate) origin: &'static str,
 }
 
+/// What a long-running task waited for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct StageLabels {
+    pub(crate) stage: &'static str,
+}
+
 /// Why a job or one of its tasks was shed because capacity was insufficient.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ShedCause {
@@ -122,6 +128,8 @@
     pub(crate) workers: OutcomeCounter,
     /// Time from the last sign of a worker until its leases have expired, by whose leases they are.
     lease_wait_seconds: Family<OriginLabels, Histogram, fn() -> Histogram>,
+    /// Time from the end of a long-running task to its next run, by the stage that took longest.
+    absence_seconds: Family<StageLabels, Histogram, fn() -> Histogram>,
     /// Epoch of this entry's leadership; zero while it does not lead.
     pub(crate) lead_epoch: Gauge<i64, AtomicI64>,
     /// Time of each leg of a job's way to its first start.
@@ -167,6 +175,7 @@
             worker_calls: Family::default(),
             workers: Family::default(),
             lease_wait_seconds: Family::new_with_constructor(lease_histogram),
+            absence_seconds: Family::new_with_constructor(lease_histogram),
             lead_epoch: Gauge::default(),
             start_leg_seconds: Family::new_with_constructor(histogram),
             open_jobs: Gauge::default(),
@@ -248,6 +257,12 @@
             Unit::Seconds,
             self.lease_wait_seconds.clone(),
         );
+        registry.register_with_unit(
+            "absence",
+            "Time from the end of a long-running task to its next run",
+            Unit::Seconds,
+            self.absence_seconds.clone(),
+        );
         registry.register(
             "lead_epoch",
             "Epoch of this entry's leadership, or zero while it does not lead",
@@ -348,6 +363,13 @@
             .observe(elapsed.as_secs_f64());
     }
 
+    /// Records how long a long-running task did not run.
+    pub(crate) fn record_absence(&self, stage: &'static str, elapsed: Duration) {
+        self.absence_seconds
+            .get_or_create(&StageLabels { stage })
+            .observe(elapsed.as_secs_f64());
+    }
+
     /// Counts a row that the store refuses for good; [`None`] stands for the leader's own.
     pub(crate) fn count_refused_row(&self, owner: Option<RowOwner>) {
         let cause = match owner {
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -66,7 +66,8 @@
 };
 pub use scheduler::{CommitPlan, JobScheduler, LeaderTimeouts, RowOwner};
 pub use scheduler::{
-    EvictionCause, ExclusionCounts, ExclusionSummary, JobEvent, LeaseOrigin, LossCause, WaitingStep,
+    EvictionCause, ExclusionCounts, ExclusionSummary, JobEvent, LeaseOrigin, LossCause,
+    RestartStage, TaskAbsence, WaitingStep,
 };
 pub use shedding::{decide_admission, earliest_end};
 pub use spec::{CORE_LIMIT, JobSpec, QueuePolicy, RepeatPlan, SpecError, StepSpec, TASK_LIMIT};
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -4,6 +4,7 @@
 //! acts on it. Each write is conditional on the previous one, so no write of an earlier
 //! leader takes effect after a takeover.
 
+mod absences;
 mod commit;
 mod consolidate;
 mod crashes;
@@ -33,6 +34,7 @@
     AttemptKey, EstimateTable, HeadroomTable, JobCode, JobPhase, JobSpec, JobState, LeaseLimits,
     LeasePromise, PolicySet, ProgressPart, QueuePolicy, StoreBounds, TaskName,
 };
+use absences::AbsenceTable;
 use commit::HEADROOM_INTERVAL;
 use crashes::CrashHistory;
 use leases::LeaseBook;
@@ -41,6 +43,7 @@
 use refusals::RefusalSearch;
 use vm::{VmAttempt, VmState};
 
+pub use absences::{RestartStage, TaskAbsence};
 pub use commit::CommitPlan;
 pub use exclusions::{ExclusionCounts, ExclusionSummary, WaitingStep};
 pub use notes::{EvictionCause, JobEvent, LeaseOrigin, LossCause};
@@ -99,6 +102,8 @@
     avoided: BTreeMap<TaskName, (String, MonoTime)>,
     /// Space reserved for long-running tasks that are being moved.
     moves: BTreeMap<TaskName, MoveReservation>,
+    /// Long-running tasks that have run and do not run.
+    absences: AbsenceTable,
     consolidation_due: MonoTime,
     /// Number of VMs, by ascending serving work, that the next round of consolidation passes
     /// over because the rounds before found no plan for them.
@@ -155,6 +160,7 @@
             is_releasing: false,
             avoided: BTreeMap::new(),
             moves: BTreeMap::new(),
+            absences: AbsenceTable::default(),
             consolidation_due: now,
             consolidation_offset: 0,
             crash_history: CrashHistory::default(),
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -398,6 +398,7 @@
             self.evict_slowed(now);
             self.consolidate(now);
         }
+        self.review_absences(now);
     }
 
     /// Returns whether the store has confirmed a write recently enough to evict tasks.
--- a/crates/turmeric-jobs/src/scheduler/notes.rs
+++ b/crates/turmeric-jobs/src/scheduler/notes.rs
@@ -5,7 +5,8 @@
 use turmeric_types::{MonoTime, WallTime};
 
 use super::JobScheduler;
-use crate::{AttemptKey, CrashEvidence, EndKind, JobCode, JobPhase, JobUrgency};
+use super::absences::RestartStage;
+use crate::{AttemptKey, CrashEvidence, EndKind, JobCode, JobPhase, JobUrgency, TaskName};
 
 /// Most events kept until they are taken; further ones are only counted.
 const EVENT_LIMIT: usize = 512;
@@ -144,6 +145,27 @@
         /// How it ended.
         kind: EndKind,
     },
+    /// A long-running task has not run for longer than the platform allows soon, or waits for
+    /// something else since.
+    Absent {
+        /// The task.
+        task: TaskName,
+        /// What it waits for.
+        stage: RestartStage,
+        /// Time since its last run.
+        absence: Duration,
+    },
+    /// A long-running task runs again.
+    Resumed {
+        /// The task.
+        task: TaskName,
+        /// Time since its last run.
+        absence: Duration,
+        /// Time that it waited in each stage.
+        stages: Vec<(RestartStage, Duration)>,
+        /// The absence was reported.
+        is_long: bool,
+    },
     /// A job ended.
     Finished {
         /// The job.
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -176,7 +176,7 @@
     }
 
     /// Returns whether the store has recorded an attempt.
-    fn is_recorded(&self, key: &AttemptKey, attempt: &VmAttempt) -> bool {
+    pub(super) fn is_recorded(&self, key: &AttemptKey, attempt: &VmAttempt) -> bool {
         self.jobs
             .get(&key.task.job)
             .is_some_and(|job| job.recorded_revision >= attempt.revision)
--- a/crates/turmeric-jobs/tests/draining.rs
+++ b/crates/turmeric-jobs/tests/draining.rs
@@ -8,8 +8,8 @@
 use rstest::rstest;
 use turmeric_jobs::{
     AttemptEnd, AttemptKey, AttemptStatus, ConsolidationPolicy, EndKind, EndpointIncarnation,
-    EndpointInfo, JobCode, JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, PolicySet,
-    QueuePolicy, StepSpec, VmReport, read_key,
+    EndpointInfo, JobCode, JobEvent, JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, PolicySet,
+    QueuePolicy, RestartStage, StepSpec, VmReport, read_key,
 };
 use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
 
@@ -566,3 +566,42 @@
     scene.tick();
     assert_eq!(scene.kept(source).len(), 1);
 }
+
+/// Guards against an absence whose cause no log line names, or that is counted from the expiry of
+/// the leases.
+#[test]
+fn absence_is_reported_with_all_its_stages() {
+    let mut scene = DrainScene::new(&[("a", 1)]);
+    let lasting = scene.submit(1, long_running());
+    scene.pass(200);
+    scene.start();
+    scene.leader.take_events();
+    // Its VM falls silent, and there is no other.
+    let mut reported = Vec::new();
+    for _ in 0..100 {
+        scene.pass(100);
+        scene.tick();
+        for event in scene.leader.take_events().0 {
+            if let JobEvent::Absent { stage, absence, .. } = event {
+                reported.push((stage, absence.as_millis() as u64));
+            }
+        }
+    }
+    let stages: Vec<RestartStage> = reported.iter().map(|(stage, _)| *stage).collect();
+    assert_eq!(stages, [RestartStage::Leases, RestartStage::Capacity]);
+    assert!(reported[0].1 < 4_500, "reported after {} ms", reported[0].1);
+    scene.add_vm("b", 1);
+    scene.place();
+    scene.pass(100);
+    scene.vms.get_mut("b").unwrap().running = scene.kept("b");
+    scene.report("b");
+    scene.pass(300);
+    scene.tick();
+    let (events, _) = scene.leader.take_events();
+    let resumed = events.iter().find_map(|event| match event {
+        JobEvent::Resumed { task, stages, .. } if task.job == lasting => Some(stages.clone()),
+        _ => None,
+    });
+    let stages: Vec<RestartStage> = resumed.unwrap().iter().map(|(stage, _)| *stage).collect();
+    assert_eq!(stages, [RestartStage::Leases, RestartStage::Capacity]);
+}
