--- a/crates/turmeric-jobs/tests/draining.rs
+++ b/crates/turmeric-jobs/tests/draining.rs
@@ -605,3 +605,64 @@
     let stages: Vec<RestartStage> = resumed.unwrap().iter().map(|(stage, _)| *stage).collect();
     assert_eq!(stages, [RestartStage::Leases, RestartStage::Capacity]);
 }
+
+/// Guards against a moved task that waits beside the space reserved for it, because another task of
+/// its step has a lower number and fits nowhere.
+#[test]
+fn moved_task_is_placed_while_another_of_its_step_fits_nowhere() {
+    let mut scene = DrainScene::new(&[("a", 1), ("b", 1)]);
+    let step = StepSpec {
+        count: 2,
+        ..long_running()
+    };
+    let lasting = scene.submit(1, step);
+    scene.pass(200);
+    scene.start();
+    let first = scene.kept("a").first().unwrap().task.index;
+    let (lost, moved) = if first == 0 { ("a", "b") } else { ("b", "a") };
+    scene.vms.get_mut(lost).unwrap().cores = 0;
+    scene.end(lost, lasting, EndKind::Failed);
+    scene.place();
+    scene.add_vm("c", 1);
+    scene.drain(moved);
+    scene.tick();
+    assert_eq!(scene.kept_jobs(moved), []);
+    scene.pass(STOP_MILLIS);
+    scene.report_all();
+    scene.end(moved, lasting, EndKind::Stopped);
+    assert_eq!(scene.place(), 1);
+    scene.pass(REPORT_MILLIS);
+    assert_eq!(scene.kept_jobs("c"), [lasting]);
+}
+
+/// Guards against a task that waits beside free capacity, because another task of its step has a
+/// lower number and must not return to that VM yet.
+#[test]
+fn task_is_placed_where_another_of_its_step_must_not_return() {
+    let mut scene = DrainScene::new(&[("a", 1)]);
+    let step = StepSpec {
+        count: 2,
+        checkpoints: true,
+        is_best_effort: true,
+        ..finite()
+    };
+    let code = scene.submit(1, step);
+    scene.start();
+    let slowed = *scene.kept("a").first().unwrap();
+    assert_eq!(slowed.task.index, 0);
+    scene.vms.get_mut("a").unwrap().pace = 40;
+    scene.report("a");
+    scene.pass(500);
+    scene.report("a");
+    scene.pass(600);
+    scene.report("a");
+    scene.add_vm("b", 1);
+    scene.tick();
+    assert_eq!(scene.kept_jobs("a"), [], "it is slowed");
+    scene.drain("b");
+    scene.end("a", code, EndKind::Stopped);
+    assert_eq!(scene.place(), 1);
+    scene.pass(REPORT_MILLIS);
+    let kept = scene.kept("a");
+    assert_eq!(kept.first().map(|key| key.task.index), Some(1));
+}
