Place the tasks of a step that have reserved space, whatever becomes of the others

Callers saw: a long-running task did not run for over 6 s although a VM had room for it (LOST). Cause: a round of placement goes through the waiting tasks of a step by their numbers and ended the step at the first one that fits nowhere. A moved task behind it never got the space that was reserved for it; the space stayed empty until the reservation expired after 3 s. In the same way a task that must not return to a VM yet kept the others from it. Change: only a task that may go to any VM ends the search for its step, and never for tasks with reserved space. Ruled out: waits for leases (6.5 s each, as promised), finite tasks that take the room, closed VMs.

--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -269,6 +269,8 @@
         // takes more time than all the rest of a placement.
         let saved = step.is_gang.then(|| round.capacities.clone());
         let mut chosen: Vec<TaskPlacement> = Vec::new();
+        // A task that may go to any VM fits none, so only reserved space is left for the others.
+        let mut is_full = false;
         for task in waiting {
             let Some(state) = job.tasks.get(&task) else {
                 continue;
@@ -284,6 +286,9 @@
                 });
                 continue;
             }
+            if is_full {
+                continue;
+            }
             let placed = |vm: &str| {
                 let existing = self.count_step(vm, &first);
                 existing + chosen.iter().filter(|placement| placement.vm == vm).count() as u32
@@ -315,10 +320,18 @@
             let Some(found) = found else {
                 // The capacity reserved for the gang's other members is released again,
                 // so a gang's failure says nothing about later tasks.
-                if avoided.is_none() && !has_exclusion && !step.is_gang {
+                if step.is_gang {
+                    break;
+                }
+                // Another task may fit the VM to which this one must not return.
+                if avoided.is_some() {
+                    continue;
+                }
+                is_full = true;
+                if !has_exclusion {
                     round.failures.record(service, step);
                 }
-                break;
+                continue;
             };
             let vm = found.vm.clone();
             let is_probe = found.is_suspect && !step.is_gang;
