Move long-running tasks that are not started in time

Callers would see: a long-running task does not run although a VM has room, as long as the worker that it was placed on answers polls and carries out no start. Only finite tasks counted as stalled. Change: a long-running attempt of which no report says within 2.5 s of its order that it runs is moved as from a draining endpoint if another VM has room: space is reserved there, the first VM is avoided for 4 s and its failure counts. The timeout doubles from the third time on.

--- a/crates/turmeric-daemon/src/hosted/decision_log.rs
+++ b/crates/turmeric-daemon/src/hosted/decision_log.rs
@@ -252,6 +252,7 @@
         EvictionCause::Draining => "draining",
         EvictionCause::Slowed => "slowed",
         EvictionCause::Stalled => "stalled",
+        EvictionCause::Unstarted => "unstarted",
         EvictionCause::Consolidated => "consolidated",
         EvictionCause::Overdue => "overdue",
     }
--- a/crates/turmeric-jobs/src/scheduler/absences.rs
+++ b/crates/turmeric-jobs/src/scheduler/absences.rs
@@ -101,7 +101,9 @@
             Self::Trial => Some(Duration::from_millis(2000)),
             // A write that is under way, and the next one.
             Self::Record => Some(Duration::from_millis(1000)),
-            Self::Capacity | Self::Start | Self::Row => None,
+            // The timeout of a start. Where no other VM has enough free, the task stays.
+            Self::Start => Some(Duration::from_millis(3000)),
+            Self::Capacity | Self::Row => None,
         }
     }
 }
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -394,6 +394,7 @@
         // An evicted task resumes elsewhere only after the store has recorded its new attempt.
         if self.may_evict(now) {
             self.evict_stalled(now);
+            self.move_unstarted(now);
             self.evict_draining(now);
             self.evict_slowed(now);
             self.consolidate(now);
@@ -458,6 +459,76 @@
             }
         }
     }
+
+    /// Moves long-running attempts that do not start to other VMs with free capacity.
+    fn move_unstarted(&mut self, now: MonoTime) {
+        let answering = self.vms.iter();
+        let answering = answering.filter(|(_, vm)| vm.is_ready && vm.is_reachable(now));
+        let overdue: Vec<(String, AttemptKey)> = answering
+            .flat_map(|(name, vm)| {
+                let attempts = vm.attempts.iter();
+                let overdue = attempts.filter(|(key, attempt)| {
+                    let job = self.jobs.get(&key.task.job);
+                    self.is_wanted(key, attempt)
+                        && job.is_some_and(|job| is_start_overdue(job, key, attempt, now))
+                });
+                overdue.map(|(key, _)| (name.clone(), *key))
+            })
+            .collect();
+        if overdue.is_empty() {
+            return;
+        }
+        let mut capacities = self.fleet_capacity(now).vms;
+        for (name, key) in overdue {
+            let Some(target) = self.choose_target(&name, &key.task, &mut capacities, now) else {
+                continue;
+            };
+            self.move_attempt(&name, key, target, EvictionCause::Unstarted, now);
+            self.avoid_vm(key.task, &name, now);
+            self.record_unstarted(&name, key, now);
+        }
+    }
+
+    /// Counts an attempt that did not start as a failure on its VM.
+    fn record_unstarted(&mut self, name: &str, key: AttemptKey, now: MonoTime) {
+        let job = self.jobs.get_mut(&key.task.job);
+        if let Some(state) = job.and_then(|job| job.tasks.get_mut(&key.task)) {
+            state.stalls += 1;
+        }
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        let attempt = vm.attempts.get(&key);
+        let failed = FailedAttempt {
+            job: key.task.job,
+            is_long_running: true,
+            placed_at: attempt.map(|attempt| attempt.placed_at).unwrap_or_default(),
+            run_time: Duration::ZERO,
+        };
+        vm.suspicion.record_failure(&failed, now);
+    }
+}
+
+/// Returns whether a long-running attempt was ordered, and is not known to run in time.
+///
+/// Load pattern: workers leave starts unanswered for seconds, or refuse all of them, and other VMs
+/// have free capacity. Such an attempt never ends.
+fn is_start_overdue(job: &JobState, key: &AttemptKey, attempt: &VmAttempt, now: MonoTime) -> bool {
+    let step = job.spec.steps.get(key.task.step as usize);
+    let is_movable = step.is_some_and(|step| step.is_long_running && !step.is_gang);
+    let stalls = job.tasks.get(&key.task).map_or(0, |state| state.stalls);
+    // An attempt that an earlier leader ordered counts from the first report that lists it.
+    let ordered_at = attempt.first_sent_at.unwrap_or(attempt.progressed_at);
+    let has_started = attempt.is_confirmed || attempt.percent > 0;
+    is_movable
+        && !has_started
+        && ordered_at != MonoTime::default()
+        && now > ordered_at.after(lengthened(MIN_STALL_TIMEOUT, stalls))
+}
+
+/// Returns a timeout after so many evictions of the task for a stall.
+fn lengthened(timeout: Duration, stalls: u32) -> Duration {
+    timeout * 2_u32.pow(stalls.saturating_sub(FREE_STALLS).min(16))
 }
 
 /// Returns the time without progress after which an attempt of a task is stalled.
@@ -472,5 +543,5 @@
     let run_time = expected.max(stated).unwrap_or_default();
     let timeout = MIN_STALL_TIMEOUT.max(run_time * STALL_PERCENT / 100);
     let stalls = job.tasks.get(task).map_or(0, |state| state.stalls);
-    timeout * 2_u32.pow(stalls.saturating_sub(FREE_STALLS).min(16))
+    lengthened(timeout, stalls)
 }
--- a/crates/turmeric-jobs/src/scheduler/notes.rs
+++ b/crates/turmeric-jobs/src/scheduler/notes.rs
@@ -20,6 +20,8 @@
     Slowed,
     /// It made no progress.
     Stalled,
+    /// It is long-running and was not started in time, and another VM has free capacity.
+    Unstarted,
     /// It is a serving task, moved to a VM with others so that its VM has none.
     Consolidated,
     /// Its job is overdue, and a waiting task in time needs its processors.
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -61,8 +61,7 @@
                 && self.evict(&name, key, EvictionCause::Slowed)
             {
                 evicted += 1;
-                self.avoided
-                    .insert(key.task, (name, now.after(AVOID_DURATION)));
+                self.avoid_vm(key.task, &name, now);
             }
         }
     }
@@ -124,11 +123,7 @@
             let Some(target) = self.choose_target(&name, &key.task, &mut fleet.vms, now) else {
                 continue;
             };
-            if self.may_reserve(&key.task, &target, now) {
-                self.begin_move(&name, key, target, EvictionCause::Draining, now);
-            } else {
-                self.evict(&name, key, EvictionCause::Draining);
-            }
+            self.move_attempt(&name, key, target, EvictionCause::Draining, now);
         }
     }
 
@@ -146,7 +141,29 @@
             .collect()
     }
 
-    /// Returns whether space on a VM may be reserved for a task of a draining endpoint.
+    /// Evicts an attempt, and reserves space on another VM for its task if that may be reserved.
+    pub(super) fn move_attempt(
+        &mut self,
+        source: &str,
+        key: AttemptKey,
+        target: String,
+        cause: EvictionCause,
+        now: MonoTime,
+    ) {
+        if self.may_reserve(&key.task, &target, now) {
+            self.begin_move(source, key, target, cause, now);
+        } else {
+            self.evict(source, key, cause);
+        }
+    }
+
+    /// Keeps a task from the VM that it was evicted from, for a while.
+    pub(super) fn avoid_vm(&mut self, task: TaskName, vm: &str, now: MonoTime) {
+        let until = now.after(AVOID_DURATION);
+        self.avoided.insert(task, (vm.to_owned(), until));
+    }
+
+    /// Returns whether space on a VM may be reserved for a task that is to be moved there.
     ///
     /// Suspected tasks and VMs are left to placement, which isolates them.
     pub(super) fn may_reserve(&self, task: &TaskName, target: &str, now: MonoTime) -> bool {
