--- a/crates/turmeric-jobs/tests/scene/mod.rs
+++ b/crates/turmeric-jobs/tests/scene/mod.rs
@@ -38,6 +38,12 @@
     pub pace: u32,
     pub running: BTreeSet<AttemptKey>,
     pub ends: Vec<AttemptEnd>,
+    /// Attempts that the worker rejected, as its agent reports.
+    pub refused: Vec<AttemptKey>,
+    /// Its reports may lack ends.
+    pub has_more_ends: bool,
+    /// Number of the incarnation of its endpoint.
+    pub life: u64,
 }
 
 impl SceneVm {
@@ -50,6 +56,9 @@
             pace: 100,
             running: BTreeSet::new(),
             ends: Vec::new(),
+            refused: Vec::new(),
+            has_more_ends: false,
+            life: 1,
         }
     }
 
@@ -155,7 +164,7 @@
             endpoint_info: Some(EndpointInfo {
                 incarnation: EndpointIncarnation {
                     endpoint: name.to_owned(),
-                    started_at_millis: 1,
+                    started_at_millis: vm.life,
                 },
                 service: "s".to_owned(),
                 is_draining: vm.is_draining,
@@ -167,11 +176,11 @@
             is_unresponsive: vm.is_unresponsive,
             attempts: vm.running.iter().map(|key| vm.status(*key)).collect(),
             ends: vm.ends.clone(),
-            refused: Vec::new(),
+            refused: vm.refused.clone(),
             applied_orders: 0,
             crash: None,
             headroom: None,
-            has_more_ends: false,
+            has_more_ends: vm.has_more_ends,
             lease_wait: None,
             is_stopping: false,
         };
