Prefer other VMs for a task whose start was rejected

Callers would see: a task does not run although a VM has room, as long as another worker rejects each of its starts. Cause: an attempt that an agent refuses went back to the queue without a trace, and placement chose the same VM, which rejects everything and so stays the best fit. Change: for 4 s other VMs are tried first for the task; the VM that rejected it is chosen only if no other has room.

--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -100,6 +100,8 @@
     is_releasing: bool,
     /// The VM that each task was evicted from, and until when the task is not placed there.
     avoided: BTreeMap<TaskName, (String, MonoTime)>,
+    /// The VMs on which starts of each task were rejected, and until when others are preferred.
+    rejections: BTreeMap<TaskName, BTreeMap<String, MonoTime>>,
     /// Space reserved for long-running tasks that are being moved.
     moves: BTreeMap<TaskName, MoveReservation>,
     /// Long-running tasks that have run and do not run.
@@ -159,6 +161,7 @@
             pending_updates: BTreeSet::new(),
             is_releasing: false,
             avoided: BTreeMap::new(),
+            rejections: BTreeMap::new(),
             moves: BTreeMap::new(),
             absences: AbsenceTable::default(),
             consolidation_due: now,
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -110,7 +110,7 @@
         self.lose_other_incarnations(&report, crashed_at, wall);
         self.apply_ends(&report, now, wall);
         for key in &report.refused {
-            self.handle_refusal(&name, *key);
+            self.handle_refusal(&name, *key, now);
         }
         self.reconcile_attempts(&name, &report, now, wall);
         if let (Some(vm), Some((number, sample))) = (self.vms.get_mut(&name), &report.headroom)
@@ -390,6 +390,7 @@
             self.lose_all(&name);
         }
         self.expire_reservations(now);
+        self.expire_rejections(now);
         self.revoke_moves(now);
         // An evicted task resumes elsewhere only after the store has recorded its new attempt.
         if self.may_evict(now) {
--- a/crates/turmeric-jobs/src/scheduler/losses.rs
+++ b/crates/turmeric-jobs/src/scheduler/losses.rs
@@ -5,13 +5,30 @@
 use super::JobScheduler;
 use super::crashes::CrashNotice;
 use super::notes::{JobEvent, LossCause};
+use super::relieve::AVOID_DURATION;
 use super::vm::{VmAttempt, VmState};
 use crate::{AttemptKey, VmReport};
 
 impl JobScheduler {
     /// Handles an attempt that the agent reports it will never start.
-    pub(super) fn handle_refusal(&mut self, name: &str, key: AttemptKey) {
-        self.remove_attempts(name, vec![key], LossCause::Refused);
+    ///
+    /// Load pattern: a worker rejects all starts, and stays the VM with the best fit for the task.
+    pub(super) fn handle_refusal(&mut self, name: &str, key: AttemptKey, now: MonoTime) {
+        if !self
+            .remove_attempts(name, vec![key], LossCause::Refused)
+            .is_empty()
+        {
+            let vms = self.rejections.entry(key.task).or_default();
+            vms.insert(name.to_owned(), now.after(AVOID_DURATION));
+        }
+    }
+
+    /// Forgets the rejections that no longer count.
+    pub(super) fn expire_rejections(&mut self, now: MonoTime) {
+        self.rejections.retain(|_, vms| {
+            vms.retain(|_, until| now < *until);
+            !vms.is_empty()
+        });
     }
 
     /// Returns a task to the queue whose attempt can no longer be running.
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -304,11 +304,16 @@
                     avoided != Some(capacity.vm.as_str()) && !is_excluded(capacity)
                 })
             };
+            let rejections = self.rejections.get(&task);
+            let has_rejected = |vm: &str| rejections.is_some_and(|vms| vms.contains_key(vm));
             // A crash tells most where nothing else has just been started.
-            let is_preferred = |capacity: &&VmCapacity| !is_suspect || !capacity.has_recent_start;
+            let is_preferred = |capacity: &&VmCapacity| {
+                !(is_suspect && capacity.has_recent_start) && !has_rejected(&capacity.vm)
+            };
             let found = choose_vm(&request, open().filter(is_preferred), placed);
+            let has_preference = is_suspect || rejections.is_some();
             let found =
-                found.or_else(|| is_suspect.then(|| choose_vm(&request, open(), placed))?);
+                found.or_else(|| has_preference.then(|| choose_vm(&request, open(), placed))?);
             let found = found.or_else(|| {
                 let starved = PlacementRequest {
                     is_starved: true,
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -22,7 +22,7 @@
 const SLOW_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// For this long, an evicted task is not placed again on the VM that it was evicted from.
-const AVOID_DURATION: Duration = Duration::from_secs(4);
+pub(super) const AVOID_DURATION: Duration = Duration::from_secs(4);
 
 /// Most slowed tasks evicted in one round, since each eviction changes the free capacity that
 /// the others find.
