Evict tasks only for VMs that take them

Callers would see: a long-running task is stopped on an endpoint that leaves, and does not run for up to 5.8 s although the endpoint would have run it until then. Cause: a target for a move was any VM with room, also one on which the job must not be placed yet, and a suspected VM for any number of tasks, which takes one at a time. Change: targets are chosen as in placement: only VMs on which the job may be tried, and a suspected VM for one task. Measured: tasks_stay_on_a_draining_endpoint_until_a_suspected_vm_takes_them and unstarted_task_is_kept_where_the_other_vm_does_not_take_it failed (5.8 s and 3.5 s) and pass.

--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -197,14 +197,20 @@
             is_starved: false,
         };
         let avoided = self.avoided_vm(task, now);
-        let others = capacities
-            .values()
-            .filter(|capacity| capacity.vm != source && avoided != Some(capacity.vm.as_str()));
+        let others = capacities.values().filter(|capacity| {
+            capacity.vm != source
+                && avoided != Some(capacity.vm.as_str())
+                && self.may_retry(task.job, capacity, now)
+        });
         let found = choose_vm(&request, others, |vm| {
             self.count_step(vm, &task.first_of_step())
         });
-        let target = found?.vm.clone();
-        if let Some(capacity) = capacities.get_mut(&target) {
+        let found = found?;
+        let target = found.vm.clone();
+        if found.is_suspect {
+            // It takes one task at a time.
+            capacities.remove(&target);
+        } else if let Some(capacity) = capacities.get_mut(&target) {
             capacity.add(task, step, &self.headroom);
         }
         Some(target)
