Count no start as overdue that was not ordered or may have ended

Cause: an attempt that waits for its record, or whose end an incomplete list lacks, counted as one that its worker does not start; it was evicted, and its VM was blamed. Change: only attempts that were ordered count, and none while a VM's lists lack ends. Measured: attempt_that_was_never_ordered_is_not_overdue (evicted after 2.6 s) and nothing_is_unstarted_while_ends_are_missing failed and pass.

--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -464,7 +464,9 @@
     /// Moves long-running attempts that do not start to other VMs with free capacity.
     fn move_unstarted(&mut self, now: MonoTime) {
         let answering = self.vms.iter();
-        let answering = answering.filter(|(_, vm)| vm.is_ready && vm.is_reachable(now));
+        // An attempt whose end is not listed yet may have run.
+        let answering =
+            answering.filter(|(_, vm)| vm.is_ready && vm.is_reachable(now) && !vm.has_more_ends);
         let overdue: Vec<(String, AttemptKey)> = answering
             .flat_map(|(name, vm)| {
                 let attempts = vm.attempts.iter();
@@ -523,6 +525,7 @@
     let has_started = attempt.is_confirmed || attempt.percent > 0;
     is_movable
         && !has_started
+        && !attempt.is_unsent()
         && ordered_at != MonoTime::default()
         && now > ordered_at.after(lengthened(MIN_STALL_TIMEOUT, stalls))
 }
