Count a start as overdue only from when its VM answers

Cause: the timeout of a start ran on while the agent was cut off or restarted, so its first report made the attempt overdue; two such jobs closed a sound VM. Change: the timeout begins again when the VM is ready and reachable again. Measured: start_is_not_overdue_at_the_first_report_after_an_outage (two evictions 50 ms after the return) and vm_is_not_suspected_because_its_agent_was_cut_off failed and pass.

--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -69,6 +69,7 @@
             let earlier_end = vm.earlier_leases_end_at.min(now.after(lease_wait));
             vm.leases_end_at = vm.leases_end_at.max(earlier_end);
         }
+        let was_answering = vm.is_ready && vm.is_reachable(now);
         vm.lease_wait = Some(lease_wait);
         self.leases.withheld.remove(&name);
         vm.zone.clone_from(&report.zone);
@@ -122,6 +123,9 @@
         if let Some(vm) = self.vms.get_mut(&name) {
             vm.is_ready = knows_leader && !report.is_stopping;
             vm.stamp_millis = Some(report.stamp_millis);
+            if !was_answering {
+                vm.answering_since = now;
+            }
         }
         // The leases of a worker that does not answer are not renewed, so that they expire.
         if !report.is_unresponsive {
@@ -473,7 +477,9 @@
                 let overdue = attempts.filter(|(key, attempt)| {
                     let job = self.jobs.get(&key.task.job);
                     self.is_wanted(key, attempt)
-                        && job.is_some_and(|job| is_start_overdue(job, key, attempt, now))
+                        && job.is_some_and(|job| {
+                            is_start_overdue(job, key, attempt, vm.answering_since, now)
+                        })
                 });
                 overdue.map(|(key, _)| (name.clone(), *key))
             })
@@ -512,11 +518,18 @@
     }
 }
 
-/// Returns whether a long-running attempt was ordered, and is not known to run in time.
+/// Returns whether a long-running attempt was ordered, and is not known to run in time on a VM that
+/// has answered since `answering_since`.
 ///
-/// Load pattern: workers leave starts unanswered for seconds, or refuse all of them, and other VMs
-/// have free capacity. Such an attempt never ends.
-fn is_start_overdue(job: &JobState, key: &AttemptKey, attempt: &VmAttempt, now: MonoTime) -> bool {
+/// Load pattern: workers leave starts and stops unanswered for seconds, and other VMs have free
+/// capacity. Such an attempt never ends.
+fn is_start_overdue(
+    job: &JobState,
+    key: &AttemptKey,
+    attempt: &VmAttempt,
+    answering_since: MonoTime,
+    now: MonoTime,
+) -> bool {
     let step = job.spec.steps.get(key.task.step as usize);
     let is_movable = step.is_some_and(|step| step.is_long_running && !step.is_gang);
     let stalls = job.tasks.get(&key.task).map_or(0, |state| state.stalls);
@@ -527,7 +540,10 @@
         && !has_started
         && !attempt.is_unsent()
         && ordered_at != MonoTime::default()
-        && now > ordered_at.after(lengthened(MIN_STALL_TIMEOUT, stalls))
+        && now
+            > ordered_at
+                .max(answering_since)
+                .after(lengthened(MIN_STALL_TIMEOUT, stalls))
 }
 
 /// Returns a timeout after so many evictions of the task for a stall.
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -180,6 +180,8 @@
     /// The agent knows this leader and is synchronized with the endpoint's current
     /// incarnation under the agent's own fencing token.
     pub(crate) is_ready: bool,
+    /// Since when the VM has been ready and reachable without a break.
+    pub(crate) answering_since: MonoTime,
     /// When the agent first reported that the worker does not answer; [`None`] if it does.
     pub(crate) unresponsive_since: Option<MonoTime>,
     /// Number of the connection over which the agent's last report arrived.
@@ -230,6 +232,7 @@
             last_crash: None,
             was_draining: false,
             is_ready: false,
+            answering_since: now,
             unresponsive_since: None,
             link: 0,
             reported_at: now,
