Shorten the timeout of a long-running task's start once it has run

Cause: each start that was given up doubled the timeout of later ones for as long as the leader led, whatever the task had run in between: 20 s after five. Change: the count begins anew when a report shows the task at work. Measured: timeout_of_a_start_is_short_again_after_a_long_run failed (20.1 s) and passes.

--- a/crates/turmeric-jobs/src/progress.rs
+++ b/crates/turmeric-jobs/src/progress.rs
@@ -85,7 +85,8 @@
     pub checkpoint: String,
     /// Location at which the last attempt may be running.
     pub location: Option<AttemptLocation>,
-    /// How often this leader has evicted it because it made no progress.
+    /// How often this leader has evicted it because it made no progress, or was not started; of a
+    /// long-running task, since it was last at work.
     pub stalls: u32,
 }
 
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -327,11 +327,20 @@
                 continue;
             };
             let task = status.key.task;
-            if let Some((worked, percent)) = attempt.record_status(status, now)
-                && let Some(job) = self.jobs.get_mut(&task.job)
-            {
+            let progress = attempt.record_status(status, now);
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            if let Some((worked, percent)) = progress {
                 job.record_progress(task.step, worked, percent);
             }
+            // What kept earlier attempts of a long-running task from starting is over.
+            if attempt.is_long_running
+                && attempt.is_at_work()
+                && let Some(state) = job.tasks.get_mut(&task)
+            {
+                state.stalls = 0;
+            }
         }
         vm.suspicion.review(vm.attempts.values(), now);
         if vm.has_more_ends {
