Move no task whose job is not placed because its row is refused

Cause: tasks were stopped on draining endpoints, for consolidation or for their pace although the store refused the row of their job, so that none of them was placed for up to 10 s, and space was kept for them for 3 s. Change: no target is chosen for such a task, and it counts as one that may not be away.

--- a/crates/turmeric-jobs/src/scheduler/absences.rs
+++ b/crates/turmeric-jobs/src/scheduler/absences.rs
@@ -10,7 +10,6 @@
 
 use super::moves::FleetCapacity;
 use super::notes::JobEvent;
-use super::refusals::RowOwner;
 use super::vm::VmState;
 use super::{JobScheduler, LeaderTimeouts};
 use crate::{AttemptKey, JobCode, JobState, PlacementRequest, StepSpec, TaskName, TaskState};
@@ -296,7 +295,7 @@
         fleet: &FleetCapacity,
         now: MonoTime,
     ) -> RestartStage {
-        if self.refusals.is_excluded(RowOwner::Job(code)) {
+        if !self.is_placeable(code) {
             return RestartStage::Row;
         }
         if fleet.reserved.contains_key(task) {
--- a/crates/turmeric-jobs/src/scheduler/moves.rs
+++ b/crates/turmeric-jobs/src/scheduler/moves.rs
@@ -153,7 +153,8 @@
 
     /// Returns whether all tasks of a task's step are at work, so that one may be moved.
     pub(super) fn is_step_complete(&self, task: &TaskName) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else {
+        let job = self.jobs.get(&task.job);
+        let Some(job) = job.filter(|_| self.is_placeable(task.job)) else {
             return false;
         };
         job.tasks.range(task.step_range()).all(|(name, state)| {
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -8,7 +8,6 @@
 use super::JobScheduler;
 use super::moves::FleetCapacity;
 use super::notes::JobEvent;
-use super::refusals::RowOwner;
 use super::suspicion::VmSuspicion;
 use super::vm::VmAttempt;
 use crate::{
@@ -165,8 +164,7 @@
             .iter()
             .filter(|(_, job)| !job.phase.is_terminal() && has_waiting_tasks(job))
             .filter(|(_, job)| !self.is_gathering(job, wall))
-            // None of its attempts is ordered while its row is refused.
-            .filter(|(code, _)| !self.refusals.is_excluded(RowOwner::Job(**code)))
+            .filter(|(code, _)| self.is_placeable(**code))
             .map(|(code, job)| {
                 let remaining = job.remaining(*code);
                 let has_begun = job.phase == JobPhase::Running;
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -15,8 +15,9 @@
 
 use super::JobScheduler;
 use super::notes::{EvictionCause, JobEvent};
+use super::refusals::RowOwner;
 use super::vm::VmState;
-use crate::{AttemptKey, PlacementRequest, TaskName, VmCapacity, choose_vm};
+use crate::{AttemptKey, JobCode, PlacementRequest, TaskName, VmCapacity, choose_vm};
 
 /// A best-effort task is moved after it has been slowed for this long.
 const SLOW_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -141,6 +142,12 @@
             .collect()
     }
 
+    /// Returns whether tasks of a job may be placed: none of its attempts is ordered while the store
+    /// refuses its row.
+    pub(super) fn is_placeable(&self, job: JobCode) -> bool {
+        !self.refusals.is_excluded(RowOwner::Job(job))
+    }
+
     /// Evicts an attempt, and reserves space on another VM for its task if that may be reserved.
     pub(super) fn move_attempt(
         &mut self,
@@ -187,7 +194,7 @@
         let step = job.spec.steps.get(task.step as usize)?;
         // Without checkpoints, eviction would discard the work done so far.
         let is_evictable = step.checkpoints || step.is_long_running;
-        if !is_evictable || step.is_gang {
+        if !is_evictable || step.is_gang || !self.is_placeable(task.job) {
             return None;
         }
         let request = PlacementRequest {
