Take back attempts that were never ordered from VMs that fall silent

Callers would see: a task waits for the leases on a silent VM, 6.5 s, although nothing of it was ever sent there. Cause: only a shrunk VM, a closed zone or a refused row took such attempts back. Change: an attempt that this leader placed, never ordered and no report has listed returns to the queue as soon as no order reaches its VM. The scene of lease_waits.rs placed a task and never ordered it, and took it for running: it now records and orders the task first. No assertion of it changed.

--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -402,6 +402,7 @@
             }
             self.lose_all(&name);
         }
+        self.withdraw_unreachable(now);
         self.expire_reservations(now);
         self.expire_rejections(now);
         self.revoke_moves(now);
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -114,6 +114,21 @@
         })
     }
 
+    /// Takes back the attempts that were never ordered on VMs which no order reaches any longer:
+    /// nothing of them runs, so no lease has to end before their tasks run elsewhere.
+    pub(super) fn withdraw_unreachable(&mut self, now: MonoTime) {
+        let unreachable = self.vms.iter().filter(|(_, vm)| !vm.is_reachable(now));
+        let unsent = unreachable.flat_map(|(name, vm)| {
+            let attempts = vm.attempts.iter();
+            let unsent =
+                attempts.filter(|(key, attempt)| attempt.is_unsent() && !vm.listed.contains(key));
+            unsent.map(|(key, _)| (name.clone(), *key))
+        });
+        for (name, key) in unsent.collect::<Vec<_>>() {
+            self.remove_attempts(&name, vec![key], LossCause::Withdrawn);
+        }
+    }
+
     /// Takes back attempts on a VM that were never ordered, if the VM's capacity has shrunk or
     /// its availability zone was taken out of service since they were placed, or if the store
     /// refuses the row that would record them.
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -102,9 +102,12 @@
         }
     }
 
-    /// Returns whether this leader placed the attempt and has never ordered it.
+    /// Returns whether this leader placed the attempt and has never ordered it, and no report has
+    /// listed it.
     pub(crate) fn is_unsent(&self) -> bool {
-        self.placed_at != MonoTime::default() && self.first_sent_at.is_none()
+        self.placed_at != MonoTime::default()
+            && self.first_sent_at.is_none()
+            && self.listed_at.is_none()
     }
 
     /// Records the status that a report lists for the attempt.
--- a/crates/turmeric-jobs/tests/lease_waits.rs
+++ b/crates/turmeric-jobs/tests/lease_waits.rs
@@ -83,6 +83,9 @@
         scene.report("a", false);
         scene.step();
         assert_eq!(scene.vm().as_deref(), Some("a"));
+        scene.now = scene.now.after(Duration::from_millis(100));
+        scene.step();
+        scene.leader.orders("a", scene.now).unwrap();
         scene.report("a", false);
         scene
     }
