Count a moved task once towards the limit per VM

Cause: in the round that places a moved task, its reservation and its placement both counted, so that a further task of its step was not placed beside it. Change: a placement in reserved space is not counted again. Measured: moved_task_counts_once_towards_the_limit_of_its_step failed and passes.

--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -289,7 +289,11 @@
             }
             let placed = |vm: &str| {
                 let existing = self.count_step(vm, &first);
-                existing + chosen.iter().filter(|placement| placement.vm == vm).count() as u32
+                // Reserved space is counted already.
+                let new = chosen.iter().filter(|placement| {
+                    placement.vm == vm && !round.reserved.contains_key(&placement.task)
+                });
+                existing + new.count() as u32
             };
             let avoided = self.avoided_vm(&task, round.now);
             let is_failing = round.failing_jobs.contains(&code);
