Use reserved space only where its task may still run

Cause: a moved task was placed in its reserved space without any check. After a change of the config it was started on a VM of the old service, and a task or VM that had become suspected meanwhile was not isolated. Change: service, label and suspicion are checked again; a task that fails them is placed like any other. Measured: reserved_space_is_not_used_once_the_queue_goes_to_another_service failed and passes.

--- a/crates/turmeric-jobs/src/placement.rs
+++ b/crates/turmeric-jobs/src/placement.rs
@@ -260,7 +260,7 @@
 
     /// Returns the cause that excludes the VM whatever its free capacity, if there is one.
     #[inline]
-    fn lasting_exclusion(&self, vm: &VmCapacity) -> Option<ExclusionCause> {
+    pub(crate) fn lasting_exclusion(&self, vm: &VmCapacity) -> Option<ExclusionCause> {
         if vm.service != self.service {
             return Some(ExclusionCause::Service);
         }
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -276,7 +276,10 @@
             let attempt = state.attempt;
             // Members of a gang start together, on few VMs.
             let is_suspect = state.crashes.is_suspect && !step.is_gang;
-            if let Some(vm) = round.reserved.get(&task).cloned() {
+            let reserved = round.reserved.get(&task).filter(|vm| {
+                self.may_reserve(&task, vm, round.now) && is_eligible(&request, round, vm)
+            });
+            if let Some(vm) = reserved.cloned() {
                 chosen.push(TaskPlacement {
                     task,
                     attempt: attempt.next(),
@@ -445,6 +448,13 @@
     }
 }
 
+/// Returns whether a VM may still run a task whose space is reserved there: the queue may go to
+/// another service since.
+fn is_eligible(request: &PlacementRequest<'_>, round: &PlacementRound, vm: &str) -> bool {
+    let capacity = round.capacities.get(vm);
+    capacity.is_none_or(|capacity| request.lasting_exclusion(capacity).is_none())
+}
+
 /// Makes all members of a gang resume from the same checkpoint.
 fn share_checkpoint(job: &mut JobState, chosen: &[TaskPlacement]) {
     let gangs: BTreeSet<(u32, u32)> = chosen
