Keep suspected tasks in the space that consolidation reserved for them

Cause: refused reserved space to a task that may crash its VM. Change: only the service and the label are checked again. A suspected task is isolated wherever it is placed.

--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -267,7 +267,8 @@
         // takes more time than all the rest of a placement.
         let saved = step.is_gang.then(|| round.capacities.clone());
         let mut chosen: Vec<TaskPlacement> = Vec::new();
-        // A task that may go to any VM fits none, so only reserved space is left for the others.
+        // A task of the step without restrictions of its own fits no VM, so only reserved space is
+        // left for the others.
         let mut is_full = false;
         for task in waiting {
             let Some(state) = job.tasks.get(&task) else {
@@ -276,9 +277,8 @@
             let attempt = state.attempt;
             // Members of a gang start together, on few VMs.
             let is_suspect = state.crashes.is_suspect && !step.is_gang;
-            let reserved = round.reserved.get(&task).filter(|vm| {
-                self.may_reserve(&task, vm, round.now) && is_eligible(&request, round, vm)
-            });
+            let reserved = round.reserved.get(&task);
+            let reserved = reserved.filter(|vm| is_eligible(&request, round, vm));
             if let Some(vm) = reserved.cloned() {
                 chosen.push(TaskPlacement {
                     task,
@@ -312,9 +312,9 @@
             let rejections = self.rejections.get(&task);
             let has_rejected = |vm: &str| rejections.is_some_and(|vms| vms.contains_key(vm));
             // A crash tells most where nothing else has just been started.
-            let is_preferred = |capacity: &&VmCapacity| {
-                !(is_suspect && capacity.has_recent_start) && !has_rejected(&capacity.vm)
-            };
+            let shares_blame = |capacity: &VmCapacity| is_suspect && capacity.has_recent_start;
+            let is_preferred =
+                |capacity: &&VmCapacity| !shares_blame(capacity) && !has_rejected(&capacity.vm);
             let found = choose_vm(&request, open().filter(is_preferred), placed);
             let has_preference = is_suspect || rejections.is_some();
             let found =
