Name the stage of a task whose only VMs take one task at a time after VMs that fit

Cause: the stage 'trial' was named after any closed VM with enough resources, whatever its service, its label and its limit of tasks, and had a bound that the code does not keep: suspected tasks are started one after the other. Change: the same checks as placement; the stage is called 'probe', like the tasks that VMs on suspicion get, and has no bound. A task counts as running again once a report says so. Measured: stage_probe_needs_a_vm_that_can_run_the_task failed and passes.

--- a/crates/turmeric-jobs/src/scheduler/absences.rs
+++ b/crates/turmeric-jobs/src/scheduler/absences.rs
@@ -10,9 +10,8 @@
 
 use super::moves::{FleetCapacity, MOVE_TIMEOUT};
 use super::notes::JobEvent;
-use super::vm::VmState;
 use super::{JobScheduler, LeaderTimeouts};
-use crate::{AttemptKey, JobCode, JobState, PlacementRequest, StepSpec, TaskName, TaskState};
+use crate::{AttemptKey, JobCode, JobState, PlacementRequest, TaskName, TaskState, VmCapacity};
 
 /// Time between two reviews of the absent tasks.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
@@ -42,9 +41,9 @@
     /// Permission to return to the only VMs with enough free, from which it was evicted or on
     /// which its job failed.
     Retry,
-    /// The only VMs with enough free, which take one task at a time for now: they are suspected
-    /// to be faulty, or have just started a task that may crash them.
-    Trial,
+    /// Its turn on the only VMs with enough free, which take one task at a time for now: they are
+    /// suspected to be faulty, or have just started a task that may crash them.
+    Probe,
     /// Enough free on any VM.
     Capacity,
     /// The store's record of its new attempt.
@@ -63,7 +62,7 @@
         Self::Reserved,
         Self::Placement,
         Self::Retry,
-        Self::Trial,
+        Self::Probe,
         Self::Capacity,
         Self::Record,
         Self::Start,
@@ -78,7 +77,7 @@
             Self::Reserved => "reserved",
             Self::Placement => "placement",
             Self::Retry => "retry",
-            Self::Trial => "trial",
+            Self::Probe => "probe",
             Self::Capacity => "capacity",
             Self::Record => "record",
             Self::Start => "start",
@@ -95,11 +94,12 @@
             // Two rounds of placement.
             Self::Reserved | Self::Placement => Some(Duration::from_millis(500)),
             Self::Retry => Some(Duration::from_millis(6000)),
-            Self::Trial => Some(Duration::from_millis(2000)),
             // A write that is under way, and the next one.
             Self::Record => Some(Duration::from_millis(1000)),
             // The timeout of a start. Where no other VM has enough free, the task stays.
             Self::Start => Some(Duration::from_millis(3000)),
+            // Suspected tasks are started one after the other.
+            Self::Probe => None,
             Self::Capacity | Self::Row => None,
         }
     }
@@ -172,7 +172,7 @@
         let mut events = Vec::new();
         absences.retain(|task, absence| {
             let Some((stage, _)) = stages.remove(task) else {
-                if self.is_at_work(task) {
+                if self.is_confirmed(task) {
                     events.push(JobEvent::Resumed {
                         task: *task,
                         absence: now.since(absence.since),
@@ -207,12 +207,21 @@
         };
     }
 
-    /// Returns whether the leader knows that a task runs.
-    fn is_at_work(&self, task: &TaskName) -> bool {
+    /// Returns whether a report says that a task runs.
+    fn is_confirmed(&self, task: &TaskName) -> bool {
         let job = self.jobs.get(&task.job);
         let job = job.filter(|job| !job.phase.is_terminal());
         let state = job.and_then(|job| job.tasks.get(task));
-        state.is_some_and(|state| state.location.is_some())
+        let location = state.and_then(|state| Some((state.attempt, state.location.as_ref()?)));
+        location.is_some_and(|(attempt, location)| {
+            let key = AttemptKey {
+                task: *task,
+                attempt,
+            };
+            let vm = self.vms.get(&location.vm);
+            let attempt = vm.and_then(|vm| vm.attempts.get(&key));
+            attempt.is_some_and(|attempt| attempt.is_confirmed)
+        })
     }
 
     /// Returns the stage of each long-running task that does not run, with the time since which it
@@ -320,24 +329,14 @@
             }
             stage = RestartStage::Retry;
         }
-        let mut closed = self.vms.iter();
-        let is_closed = |name: &str| !fleet.vms.contains_key(name);
-        if stage == RestartStage::Capacity
-            && closed.any(|(name, vm)| is_closed(name) && self.is_on_trial(vm, step, now))
-        {
-            return RestartStage::Trial;
+        let closed = self.vms.iter().filter(|(name, vm)| {
+            !fleet.vms.contains_key(*name) && !self.closed_zones.contains(&vm.zone)
+        });
+        let mut closed = closed.filter_map(|(name, vm)| vm.capacity(name, &self.headroom, now));
+        let fits = |vm: VmCapacity| request.fits(&vm, || self.count_step(&vm.vm, &first));
+        if stage == RestartStage::Capacity && closed.any(fits) {
+            return RestartStage::Probe;
         }
         stage
     }
-
-    /// Returns whether a VM with enough free for a task of a step is closed for a moment, because it
-    /// takes one task at a time.
-    fn is_on_trial(&self, vm: &VmState, step: &StepSpec, now: MonoTime) -> bool {
-        let is_answering = vm.is_ready && vm.is_reachable(now);
-        let is_open = !self.closed_zones.contains(&vm.zone);
-        let info = vm.info.as_ref().filter(|info| !info.is_draining);
-        is_answering
-            && is_open
-            && info.is_some_and(|info| step.reserved().fits_in(&vm.free_resources(info, |_| true)))
-    }
 }
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -475,7 +475,8 @@
         }
     }
 
-    /// Moves long-running attempts that do not start to other VMs with free capacity.
+    /// Moves long-running attempts that are not started in time to other VMs with free capacity.
+    /// Their VMs are avoided for a while.
     fn move_unstarted(&mut self, now: MonoTime) {
         let answering = self.vms.iter();
         // An attempt whose end is not listed yet may have run.
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -305,17 +305,28 @@
         name: &str,
         table: &HeadroomTable,
         now: MonoTime,
+    ) -> Option<VmCapacity> {
+        let takes_one_task = self.takes_one_task(now);
+        self.capacity(name, table, now).filter(|_| !takes_one_task)
+    }
+
+    /// Returns whether no task may be placed on the VM for a moment, because it is suspected to be
+    /// faulty, or has just been ordered to start a task that may crash it.
+    fn takes_one_task(&self, now: MonoTime) -> bool {
+        let mut attempts = self.attempts.values();
+        attempts.any(|attempt| attempt.is_isolated(now)) || self.suspicion.is_closed(now)
+    }
+
+    /// Returns the capacity that the VM has free, also while it takes one task at a time, or [`None`]
+    /// while its agent or worker takes none.
+    pub(crate) fn capacity(
+        &self,
+        name: &str,
+        table: &HeadroomTable,
+        now: MonoTime,
     ) -> Option<VmCapacity> {
         let info = self.info.as_ref()?;
-        if !self.is_ready
-            || !self.is_reachable(now)
-            || info.is_draining
-            || self
-                .attempts
-                .values()
-                .any(|attempt| attempt.is_isolated(now))
-            || self.suspicion.is_closed(now)
-        {
+        if !self.is_ready || !self.is_reachable(now) || info.is_draining {
             return None;
         }
         let free = self.free_resources(info, |_| true);
