Give what is free to interrupted long-running tasks first

Cause: what becomes free was reserved for tasks of the next endpoint that leaves, which still ran there. Each new VM of the release stood empty while they stopped, 0.3 s to 0.9 s, and the next one came 1.1 s later, so that some VM always had room; a task that had been absent since before had no part in it. Change: space is reserved for long-running tasks that have run and run nowhere before any is reserved for a move, the longest absent first, and before any waiting task is placed. The policy `long-running-restart` keeps the way before as `as-new`. Measured: room_of_a_new_vm_goes_to_an_interrupted_task_before_those_that_still_run and room_goes_to_an_interrupted_task_first; with the variant `as-new` the room goes to the others.

--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -55,8 +55,8 @@
     ExclusionCause, PlacementFailures, PlacementRequest, ServingHeadroom, VmCapacity, choose_vm,
 };
 pub use policy::{
-    AdmissionAccount, ConsolidationPolicy, JobOrder, LongRunningOrder, LongRunningStart,
-    PacingPolicy, PolicyError, PolicySet, PreemptionPolicy, StarvationPolicy,
+    AdmissionAccount, ConsolidationPolicy, JobOrder, LongRunningOrder, LongRunningRestart,
+    LongRunningStart, PacingPolicy, PolicyError, PolicySet, PreemptionPolicy, StarvationPolicy,
 };
 pub use progress::{AttemptLocation, JobPhase, JobState, TaskState};
 pub use progress_rows::ProgressPart;
--- a/crates/turmeric-jobs/src/policy.rs
+++ b/crates/turmeric-jobs/src/policy.rs
@@ -155,6 +155,15 @@
         WidestFirst = "widest-first",
     }
 
+    /// Whether long-running tasks that have been interrupted get what is free before all others.
+    LongRunningRestart {
+        /// They are ranked like tasks that have never run.
+        AsNew = "as-new",
+        /// They get it before all others.
+        #[default]
+        First = "first",
+    }
+
     /// When a long-running job that has arrived is placed.
     LongRunningStart {
         /// At once.
@@ -201,6 +210,8 @@
     job_order: JobOrder = "job-order",
     /// In which order long-running jobs of equal rank are placed.
     long_running_order: LongRunningOrder = "long-running-order",
+    /// Whether long-running tasks that have been interrupted get what is free before all others.
+    long_running_restart: LongRunningRestart = "long-running-restart",
     /// When a long-running job that has arrived is placed.
     long_running_start: LongRunningStart = "long-running-start",
     /// Whose headroom the pace of best-effort tasks keeps.
--- a/crates/turmeric-jobs/src/scheduler/absences.rs
+++ b/crates/turmeric-jobs/src/scheduler/absences.rs
@@ -162,6 +162,12 @@
         self.absences.absences.iter()
     }
 
+    /// Returns since when a long-running task has not run, as of the last review.
+    pub(super) fn absent_since(&self, task: &TaskName) -> Option<MonoTime> {
+        let absence = self.absences.absences.get(task);
+        absence.map(|absence| absence.since)
+    }
+
     /// Reviews which long-running tasks do not run, and what each of them waits for.
     pub(super) fn review_absences(&mut self, now: MonoTime) {
         if now < self.absences.review_due || self.is_releasing {
--- a/crates/turmeric-jobs/src/scheduler/losses.rs
+++ b/crates/turmeric-jobs/src/scheduler/losses.rs
@@ -7,7 +7,7 @@
 use super::notes::{JobEvent, LossCause};
 use super::relieve::AVOID_DURATION;
 use super::vm::{VmAttempt, VmState};
-use crate::{AttemptKey, VmReport};
+use crate::{AttemptKey, TaskName, VmReport};
 
 impl JobScheduler {
     /// Handles an attempt that the agent reports it will never start.
@@ -23,6 +23,12 @@
         }
     }
 
+    /// Returns whether a start of a task was rejected on a VM recently.
+    pub(super) fn has_rejected(&self, task: &TaskName, vm: &str) -> bool {
+        let vms = self.rejections.get(task);
+        vms.is_some_and(|vms| vms.contains_key(vm))
+    }
+
     /// Forgets the rejections that no longer count.
     pub(super) fn expire_rejections(&mut self, now: MonoTime) {
         self.rejections.retain(|_, vms| {
--- a/crates/turmeric-jobs/src/scheduler/moves.rs
+++ b/crates/turmeric-jobs/src/scheduler/moves.rs
@@ -8,7 +8,7 @@
 use super::JobScheduler;
 use super::notes::EvictionCause;
 use super::vm::VmState;
-use crate::{AttemptKey, StepSpec, TaskName, VmCapacity};
+use crate::{AttemptKey, LongRunningRestart, StepSpec, TaskName, VmCapacity};
 
 /// Most tasks that consolidation moves at one time. Tasks of draining endpoints do not count: all
 /// of them must move before their endpoints leave.
@@ -27,10 +27,10 @@
 pub(super) struct MoveReservation {
     /// The VM that the task is moved to.
     pub(super) vm: String,
-    /// The VM that the task is moved from.
+    /// The VM that the task is moved from; empty for one that runs nowhere.
     source: String,
-    /// Why the task is moved.
-    cause: EvictionCause,
+    /// Why the task is moved; [`None`] for one that runs nowhere.
+    cause: Option<EvictionCause>,
     /// When the space is released if the task was not placed.
     deadline: MonoTime,
 }
@@ -94,13 +94,57 @@
             let reservation = MoveReservation {
                 vm: target,
                 source: source.to_owned(),
-                cause,
+                cause: Some(cause),
                 deadline: now.after(MOVE_TIMEOUT),
             };
             self.moves.insert(key.task, reservation);
         }
     }
 
+    /// Reserves space for long-running tasks that have run and run nowhere, the longest absent first.
+    ///
+    /// Load pattern: VMs are replaced one after the other while the fleet is full. Each new VM would
+    /// be kept for tasks that still run on the next one that leaves, and then for finite jobs and
+    /// for long-running ones that have never run.
+    pub(super) fn reserve_restarts(&mut self, now: MonoTime) {
+        let mut interrupted = self.interrupted_tasks();
+        if self.policies.long_running_restart != LongRunningRestart::First || interrupted.is_empty()
+        {
+            return;
+        }
+        interrupted.sort_by_key(|task| (self.absent_since(task).unwrap_or(now), *task));
+        let mut vms = self.fleet_capacity(now).vms;
+        vms.retain(|_, capacity| !capacity.is_suspect);
+        for task in interrupted {
+            let Some(target) = self.choose_target("", &task, &mut vms, now) else {
+                continue;
+            };
+            if self.may_reserve(&task, &target, now) {
+                let reservation = MoveReservation {
+                    vm: target,
+                    source: String::new(),
+                    cause: None,
+                    deadline: now.after(MOVE_TIMEOUT),
+                };
+                self.moves.insert(task, reservation);
+            }
+        }
+    }
+
+    /// Returns the long-running tasks that have run, run nowhere and have no space reserved.
+    fn interrupted_tasks(&self) -> Vec<TaskName> {
+        let open = self.jobs.values().filter(|job| !job.phase.is_terminal());
+        let long_running = open.filter(|job| job.spec.is_long_running());
+        let tasks = long_running.flat_map(|job| &job.tasks);
+        let interrupted = tasks
+            .filter(|(_, state)| state.is_waiting() && state.attempt.get() > 0)
+            .map(|(task, _)| *task);
+        interrupted
+            .filter(|task| !self.moves.contains_key(task))
+            .filter(|task| self.step(task).is_some_and(|step| step.is_long_running))
+            .collect()
+    }
+
     /// Returns how many tasks consolidation is moving.
     pub(super) fn consolidation_moves(&self) -> usize {
         self.count_moves(EvictionCause::Consolidated)
@@ -110,14 +154,14 @@
     pub(super) fn count_moves(&self, cause: EvictionCause) -> usize {
         let moves = self.moves.values();
         moves
-            .filter(|reservation| reservation.cause == cause)
+            .filter(|reservation| reservation.cause == Some(cause))
             .count()
     }
 
     /// Reserves other space for tasks of draining endpoints whose VM has become unavailable.
     pub(super) fn replace_lost_targets(&mut self, fleet: &mut FleetCapacity, now: MonoTime) {
         let lost = self.moves.iter().filter(|(task, reservation)| {
-            reservation.cause == EvictionCause::Draining && !fleet.reserved.contains_key(task)
+            reservation.cause == Some(EvictionCause::Draining) && !fleet.reserved.contains_key(task)
         });
         let lost: Vec<(TaskName, String)> = lost
             .map(|(task, reservation)| (*task, reservation.source.clone()))
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -78,8 +78,10 @@
         if self.is_releasing {
             return 0;
         }
-        // What has become free goes first to the long-running tasks of draining endpoints: they may
-        // be gone 2 s after their notice, while a finite task only waits for the next end.
+        // What has become free goes first to long-running tasks that run nowhere, then to those of
+        // draining endpoints: these may be gone 2 s after their notice, while a finite task only
+        // waits for the next end.
+        self.reserve_restarts(now);
         if self.may_evict(now) {
             self.move_long_running(now);
         }
@@ -309,14 +311,13 @@
                     avoided != Some(capacity.vm.as_str()) && !is_excluded(capacity)
                 })
             };
-            let rejections = self.rejections.get(&task);
-            let has_rejected = |vm: &str| rejections.is_some_and(|vms| vms.contains_key(vm));
             // A crash tells most where nothing else has just been started.
             let shares_blame = |capacity: &VmCapacity| is_suspect && capacity.has_recent_start;
-            let is_preferred =
-                |capacity: &&VmCapacity| !shares_blame(capacity) && !has_rejected(&capacity.vm);
+            let is_preferred = |capacity: &&VmCapacity| {
+                !shares_blame(capacity) && !self.has_rejected(&task, &capacity.vm)
+            };
             let found = choose_vm(&request, open().filter(is_preferred), placed);
-            let has_preference = is_suspect || rejections.is_some();
+            let has_preference = is_suspect || self.rejections.contains_key(&task);
             let found =
                 found.or_else(|| has_preference.then(|| choose_vm(&request, open(), placed))?);
             let found = found.or_else(|| {
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -204,15 +204,17 @@
             is_starved: false,
         };
         let avoided = self.avoided_vm(task, now);
-        let others = capacities.values().filter(|capacity| {
-            capacity.vm != source
-                && avoided != Some(capacity.vm.as_str())
-                && self.may_retry(task.job, capacity, now)
-        });
-        let found = choose_vm(&request, others, |vm| {
-            self.count_step(vm, &task.first_of_step())
-        });
-        let found = found?;
+        let others = || {
+            capacities.values().filter(|capacity| {
+                capacity.vm != source
+                    && avoided != Some(capacity.vm.as_str())
+                    && self.may_retry(task.job, capacity, now)
+            })
+        };
+        let placed = |vm: &str| self.count_step(vm, &task.first_of_step());
+        let preferred = others().filter(|capacity| !self.has_rejected(task, &capacity.vm));
+        let found = choose_vm(&request, preferred, placed)
+            .or_else(|| choose_vm(&request, others(), placed))?;
         let target = found.vm.clone();
         if found.is_suspect {
             // It takes one task at a time.
--- a/crates/turmeric-jobs/tests/draining.rs
+++ b/crates/turmeric-jobs/tests/draining.rs
@@ -8,7 +8,9 @@
 use scene::{
     LeaderScene, REPORT_MILLIS, SILENCE_MILLIS, STOP_MILLIS, finite, long_running, resources,
 };
-use turmeric_jobs::{ConsolidationPolicy, EndKind, JobCode, PolicySet, StepSpec};
+use turmeric_jobs::{
+    ConsolidationPolicy, EndKind, JobCode, LongRunningRestart, PolicySet, StepSpec,
+};
 use turmeric_types::{MemorySize, ResourceSet};
 
 /// A long-running task on VM `a`, which is full, and VM `b` with `cores` free.
@@ -335,6 +337,11 @@
 #[test]
 fn moved_task_is_placed_while_another_of_its_step_fits_nowhere() {
     let mut scene = LeaderScene::new(&[("a", 1), ("b", 1)]);
+    // Otherwise the task that has lost its VM would get the space.
+    scene.leader = scene.leader.with_policies(PolicySet {
+        long_running_restart: LongRunningRestart::AsNew,
+        ..PolicySet::default()
+    });
     let step = StepSpec {
         count: 2,
         ..long_running()
--- a/crates/turmeric-jobs/tests/policies.rs
+++ b/crates/turmeric-jobs/tests/policies.rs
@@ -8,8 +8,9 @@
 use rstest::rstest;
 use turmeric_jobs::{
     ConsolidationPolicy, EndpointIncarnation, EndpointInfo, HeadroomSample, JobCode, JobScheduler,
-    JobSpec, LeaderTimeouts, LeaseLimits, LongRunningOrder, LongRunningStart, PacingPolicy,
-    PolicySet, QueuePolicy, StarvationPolicy, StepMeasurement, StepSpec, TaskName, VmReport,
+    JobSpec, LeaderTimeouts, LeaseLimits, LongRunningOrder, LongRunningRestart, LongRunningStart,
+    PacingPolicy, PolicySet, QueuePolicy, StarvationPolicy, StepMeasurement, StepSpec, TaskName,
+    VmReport,
 };
 use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
 
@@ -38,6 +39,9 @@
 #[case::long_running_order(LongRunningOrder::NAMES, |name: &str| {
     name.parse::<LongRunningOrder>().map(|variant| variant.to_string())
 })]
+#[case::long_running_restart(LongRunningRestart::NAMES, |name: &str| {
+    name.parse::<LongRunningRestart>().map(|variant| variant.to_string())
+})]
 #[case::long_running_start(LongRunningStart::NAMES, |name: &str| {
     name.parse::<LongRunningStart>().map(|variant| variant.to_string())
 })]
--- a/crates/turmeric-jobs/tests/restart_stages.rs
+++ b/crates/turmeric-jobs/tests/restart_stages.rs
@@ -5,8 +5,13 @@
 #[allow(dead_code, reason = "tests of draining endpoints use the rest")]
 mod scene;
 
-use scene::{LeaderScene, long_running};
-use turmeric_jobs::{EndKind, JobEvent, RestartStage};
+use std::time::Duration;
+
+use rstest::rstest;
+use scene::{LeaderScene, finite, long_running};
+use turmeric_jobs::{
+    EndKind, JobCode, JobEvent, LongRunningRestart, PolicySet, QueuePolicy, RestartStage, StepSpec,
+};
 
 /// Guards against an absence whose cause no log line names, or that is counted from the expiry of
 /// the leases.
@@ -126,3 +131,80 @@
         assert_eq!(scene.kept_jobs("a"), [lasting]);
     }
 }
+
+/// A long-running task that has lost its VM, among others that want what becomes free.
+fn scene_with_interrupted_task(restart: LongRunningRestart) -> (LeaderScene, JobCode) {
+    let mut scene = LeaderScene::new(&[("a", 1)]);
+    scene.leader = scene.leader.with_policies(PolicySet {
+        long_running_restart: restart,
+        ..PolicySet::default()
+    });
+    let interrupted = scene.submit_with_priority(1, 1, long_running());
+    scene.pass(200);
+    scene.start();
+    scene.vms.get_mut("a").unwrap().cores = 0;
+    scene.end("a", interrupted, EndKind::Failed);
+    (scene, interrupted)
+}
+
+/// Guards against an interrupted long-running task that stays away while room which becomes free goes
+/// to jobs that have arrived since: another long-running one that needs more VMs, and a finite one in
+/// time with a better priority.
+#[rstest]
+#[case::first(LongRunningRestart::First, [1, 3])]
+#[case::as_new(LongRunningRestart::AsNew, [3, 2])]
+fn room_goes_to_an_interrupted_task_first(
+    #[case] restart: LongRunningRestart,
+    #[case] expected: [u64; 2],
+) {
+    let (mut scene, _) = scene_with_interrupted_task(restart);
+    let wide = StepSpec {
+        count: 2,
+        vm_limit: Some(1),
+        ..long_running()
+    };
+    scene.submit_with_priority(2, 1, wide);
+    let queue = QueuePolicy {
+        objective: Duration::from_secs(60),
+        ..QueuePolicy::default()
+    };
+    scene.submit_with_queue(3, queue, finite());
+    scene.pass(200);
+    let mut order = Vec::new();
+    for name in ["b", "c"] {
+        scene.add_vm(name, 1);
+        assert_eq!(scene.place(), 1);
+        scene.pass(100);
+        order.extend(scene.kept_jobs(name));
+    }
+    assert_eq!(order, expected.map(JobCode::new));
+}
+
+/// Guards against new VMs of a release that are kept, one after the other, for tasks that still run on
+/// the next VM that leaves, while an interrupted task waits.
+#[test]
+fn room_of_a_new_vm_goes_to_an_interrupted_task_before_those_that_still_run() {
+    let (mut scene, interrupted) = scene_with_interrupted_task(LongRunningRestart::First);
+    scene.add_vm("d", 1);
+    // The other one runs on a VM that leaves.
+    scene.leader = {
+        let leader = scene.leader;
+        leader.with_policies(PolicySet {
+            long_running_restart: LongRunningRestart::AsNew,
+            ..PolicySet::default()
+        })
+    };
+    let moved = scene.submit(2, long_running());
+    scene.pass(200);
+    scene.start();
+    let on_d = scene.kept_jobs("d");
+    assert_eq!(on_d, [moved], "it ranks first as a new task");
+    scene.leader = scene.leader.with_policies(PolicySet::default());
+    scene.drain("d");
+    scene.add_vm("b", 1);
+    scene.tick();
+    assert_eq!(scene.kept_jobs("d"), [moved], "no room is left for it");
+    assert_eq!(scene.place(), 1);
+    scene.pass(100);
+    assert_eq!(scene.kept_jobs("b"), [interrupted]);
+}
--- a/crates/turmeric-jobs/tests/scene/mod.rs
+++ b/crates/turmeric-jobs/tests/scene/mod.rs
@@ -117,12 +117,24 @@
     }
 
     pub fn submit_with_priority(&mut self, number: u64, priority: u32, step: StepSpec) -> JobCode {
+        let queue = QueuePolicy {
+            priority,
+            ..QueuePolicy::default()
+        };
+        self.submit_with_queue(number, queue, step)
+    }
+
+    pub fn submit_with_queue(
+        &mut self,
+        number: u64,
+        queue: QueuePolicy,
+        step: StepSpec,
+    ) -> JobCode {
         let code = JobCode::new(number);
         let spec = JobSpec {
             queue: QueuePolicy {
                 service: "s".to_owned(),
-                priority,
-                ..QueuePolicy::default()
+                ..queue
             },
             accepted_at: self.wall(),
             text: String::new(),
