Let the model draw full fleets and releases, and check the stages of restarts

Its fleets were never full, and its VMs were not replaced one after another while long-running tasks waited. It compared absences with the bound of 9 s only where one VM is lost beside room. Change: a schedule of full fleets draws long-running jobs of 2 to 7 tasks, also with two per VM, on three VMs and two spares; releases, planned and spot removals, workers that leave starts unanswered, and the earlier faults. In every schedule without a deliberate fault the model checks two rules. By the leader's view, no task is in a stage of docs/design/restart-stages.md for longer than its bound and one review (300 ms), while nothing that the stage depends on was disturbed. By what workers run, no task is absent for over 9 s in 9 s of calm beside a worker that has had room for 3 s. Rounds in which a task fails count as a disturbance of its VM; starts of other tasks begin the time for unreserved room again. The stage record passes within a round in the model.

--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -5,15 +5,18 @@
 
 mod world;
 
+use std::cell::RefCell;
 use std::time::Duration;
 
 use proptest::prelude::*;
 use proptest::test_runner::{TestCaseError, TestRng, TestRunner};
 use rstest::rstest;
-use turmeric_jobs::StoreBounds;
+use turmeric_jobs::{RestartStage, StoreBounds};
+use world::full_fleets::{full_fleet_schedule, replaceable_world};
 use world::removal::RemovalOrder;
+use world::restarts::RestartChecks;
 use world::worker::WorkerSilence;
-use world::{World, WorldEvent, WorldFault};
+use world::{TERMS, World, WorldEvent, WorldFault};
 
 /// Number of tasks that fit on the three workers.
 const CAPACITY_TASKS: usize = 12;
@@ -417,6 +420,60 @@
     assert!(reason.contains(violation), "{reason}");
 }
 
+/// Number of schedules of full fleets in which each check of restarts must apply.
+const RESTART_CASES: u32 = 150;
+
+/// Plays drawn schedules of full fleets, and returns how often the checks of restarts applied, or the
+/// first violation.
+fn play_full_fleets(cases: u32, fault: Option<WorldFault>) -> Result<RestartChecks, String> {
+    let config = ProptestConfig {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..ProptestConfig::default()
+    };
+    let rng = TestRng::deterministic_rng(config.rng_algorithm);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let checks = RefCell::new(RestartChecks::default());
+    let result = runner.run(&full_fleet_schedule(), |events| {
+        let mut world = replaceable_world(fault);
+        play(&mut world, &events)?;
+        checks.borrow_mut().add(world.restart_checks());
+        let late = world.late_restart();
+        prop_assert!(late.is_none(), "{late:?}");
+        Ok(())
+    });
+    let checks = checks.into_inner();
+    result.map(|()| checks).map_err(|error| error.to_string())
+}
+
+/// Guards against checks of restarts that never apply.
+#[test]
+fn restart_checks_apply_in_full_fleets() {
+    let checks = play_full_fleets(RESTART_CASES, None).unwrap();
+    println!("{checks:?}");
+    for stage in RestartStage::ALL {
+        // The model's store records an attempt in the round in which it is placed, or is disturbed.
+        let is_passed = stage == RestartStage::Record || stage.bound(&TERMS).is_none();
+        let is_checked = checks.stages.contains_key(&stage);
+        assert!(
+            is_checked || is_passed,
+            "never applied to {}",
+            stage.label()
+        );
+    }
+    assert!(checks.rooms > 0, "no task was absent for long in calm");
+}
+
+/// Guards against checks of restarts that cannot fail.
+#[rstest]
+#[case::idle_placement(WorldFault::IdlePlacement, "")]
+#[case::long_wait(WorldFault::LongWait, "is in leases for")]
+fn deliberate_fault_delays_a_restart(#[case] fault: WorldFault, #[case] violation: &str) {
+    let reason = play_full_fleets(RESTART_CASES, Some(fault)).unwrap_err();
+    assert!(reason.contains(violation), "{reason}");
+}
+
 /// What was placed before the store went away starts once the store is back, by which time its
 /// VM may have shrunk.
 #[test]
@@ -869,6 +926,13 @@
         check_recovery(&mut world)?;
     }
 
+    /// Guards against long-running tasks that wait beside room, and against stages of their restart
+    /// that last longer than docs/design/restart-stages.md allows.
+    #[test]
+    fn long_running_tasks_restart_in_time_in_full_fleets(events in full_fleet_schedule()) {
+        play(&mut replaceable_world(None), &events)?;
+    }
+
     /// Guards against reports and orders of a removed VM that arrive late.
     #[test]
     fn invariants_hold_beside_removals_while_messages_are_delayed(
--- /dev/null
+++ b/crates/turmeric-jobs/tests/world/full_fleets.rs
@@ -0,0 +1,186 @@
+//! Schedules in which long-running jobs want more than the fleet has, and VMs are lost and replaced.
+
+use proptest::prelude::*;
+
+use super::removal::{DRAIN_NOTICE, RemovalOrder};
+use super::worker::WorkerSilence;
+use super::{ROUND, World, WorldEvent, WorldFault};
+
+/// VMs that are not there at first.
+const SPARES: usize = 2;
+
+/// VMs that are there at first, and spares.
+const VMS: usize = 3 + SPARES;
+
+/// Returns a world with VMs that may replace others.
+pub fn replaceable_world(fault: Option<WorldFault>) -> World {
+    World::with_fault(fault).with_spares(SPARES)
+}
+
+fn rounds(count: usize) -> WorldEvent {
+    WorldEvent::Rounds {
+        count,
+        loss_percent: 0,
+        late_percent: 0,
+        cut_agent: None,
+        store_down: false,
+        seed: 1,
+    }
+}
+
+fn serving_job() -> impl Strategy<Value = WorldEvent> {
+    (2..=7_u32, proptest::bool::weighted(0.4))
+        .prop_map(|(tasks, is_limited)| WorldEvent::SubmitServing { tasks, is_limited })
+}
+
+/// Long-running jobs that want up to three times what the fleet has, one after another.
+fn excess_jobs() -> impl Strategy<Value = Vec<WorldEvent>> {
+    let spaced = (serving_job(), 0..20_usize).prop_map(|(job, gap)| [job, rounds(gap)]);
+    let jobs = proptest::collection::vec(spaced, 1..=6);
+    (jobs, 20..60_usize).prop_map(|(jobs, gap)| [jobs.concat(), vec![rounds(gap)]].concat())
+}
+
+/// New VMs that register one after another, each with the end of an old one, which may be announced
+/// before its successor is there.
+fn release() -> impl Strategy<Value = Vec<WorldEvent>> {
+    let replacement = (
+        0..VMS,
+        0..VMS,
+        any::<bool>(),
+        0..40_usize,
+        40..=120_u64,
+        5..60_usize,
+    );
+    let replacement = replacement.prop_map(|(new, old, is_first, overlap, notice, gap)| {
+        let arrival = WorldEvent::Register { worker: new };
+        let end = WorldEvent::Retire {
+            worker: old,
+            rounds: notice,
+        };
+        let pair = if is_first {
+            [arrival, rounds(overlap), end]
+        } else {
+            [end, rounds(overlap), arrival]
+        };
+        [pair.to_vec(), vec![rounds(gap)]].concat()
+    });
+    proptest::collection::vec(replacement, 2..=4).prop_map(|parts| parts.concat())
+}
+
+/// VMs that are gone 2 s after their notice, at once or one after another.
+fn spot_removals() -> impl Strategy<Value = Vec<WorldEvent>> {
+    let removal = (0..VMS, 0..20_usize).prop_map(|(worker, gap)| {
+        let rounds_left = DRAIN_NOTICE / ROUND;
+        let end = WorldEvent::Retire {
+            worker,
+            rounds: rounds_left,
+        };
+        [end, rounds(gap)]
+    });
+    let removals = proptest::collection::vec(removal, 1..=2);
+    (removals, 0..200_usize).prop_map(|(parts, gap)| [parts.concat(), vec![rounds(gap)]].concat())
+}
+
+/// A worker that carries out no start while a VM is removed, in most cases beside a new VM.
+fn ignored_starts() -> impl Strategy<Value = Vec<WorldEvent>> {
+    (
+        0..VMS,
+        0..VMS,
+        20..300_u64,
+        0..VMS,
+        40..=200_u64,
+        0..240_usize,
+    )
+        .prop_map(|(new, worker, ignored, other, notice, gap)| {
+            let arrival = WorldEvent::Register { worker: new };
+            let end = WorldEvent::Retire {
+                worker: other,
+                rounds: notice,
+            };
+            let ignored = WorldEvent::IgnoreStarts {
+                worker,
+                rounds: ignored,
+            };
+            vec![arrival, rounds(10), ignored, end, rounds(gap)]
+        })
+}
+
+/// Workers on which long-running tasks of several jobs fail.
+fn failures() -> impl Strategy<Value = Vec<WorldEvent>> {
+    let failure = (0..VMS, 1..5_usize, 0..4_usize).prop_map(|(worker, count, gap)| {
+        let failure = WorldEvent::FailLongRunning { worker, count };
+        [failure, rounds(gap)]
+    });
+    let failures = proptest::collection::vec(failure, 1..=4);
+    (failures, 20..200_usize).prop_map(|(parts, gap)| [parts.concat(), vec![rounds(gap)]].concat())
+}
+
+fn lone_event() -> impl Strategy<Value = WorldEvent> {
+    let worker = 0..VMS;
+    let silence = prop_oneof![
+        Just(WorkerSilence::Mute),
+        Just(WorkerSilence::Deaf),
+        Just(WorkerSilence::Closed),
+    ];
+    prop_oneof![
+        4 => Just(WorldEvent::Submit { long_running: false }),
+        2 => serving_job(),
+        1 => Just(WorldEvent::Cancel),
+        3 => worker.clone().prop_map(|worker| WorldEvent::Register { worker }),
+        2 => (worker.clone(), 40..=300_u64)
+            .prop_map(|(worker, rounds)| WorldEvent::Retire { worker, rounds }),
+        1 => (worker.clone(), proptest::option::of(0..300_u64)).prop_map(
+            |(worker, returns_after)| WorldEvent::Remove {
+                worker,
+                drains_before: false,
+                order: RemovalOrder::Together,
+                returns_after,
+            }
+        ),
+        1 => (0..2_usize).prop_map(WorldEvent::TakeOver),
+        1 => (0..2_usize).prop_map(WorldEvent::TakeOverUnseen),
+        1 => worker.clone().prop_map(WorldEvent::KillAgent),
+        1 => worker.clone().prop_map(WorldEvent::RestartWorker),
+        1 => (worker.clone(), 1..160_u64, silence).prop_map(|(worker, rounds, silence)| {
+            WorldEvent::Silence { worker, rounds, silence }
+        }),
+        1 => (worker.clone(), 1..160_u64)
+            .prop_map(|(agent, rounds)| WorldEvent::SuspendAgent { agent, rounds }),
+        2 => (
+            1..100_usize,
+            0..60_u64,
+            0..60_u64,
+            proptest::option::of(worker),
+            proptest::bool::weighted(0.3),
+            any::<u64>(),
+        )
+            .prop_map(|(count, loss_percent, late_percent, cut_agent, store_down, seed)| {
+                WorldEvent::Rounds {
+                    count,
+                    loss_percent,
+                    late_percent,
+                    cut_agent,
+                    store_down,
+                    seed,
+                }
+            }),
+        6 => (1..60_usize).prop_map(rounds),
+        3 => (180..260_usize).prop_map(rounds),
+    ]
+}
+
+/// Schedules of full fleets whose VMs are lost and replaced, with calm at the end.
+pub fn full_fleet_schedule() -> impl Strategy<Value = Vec<WorldEvent>> {
+    let part = prop_oneof![
+        12 => lone_event().prop_map(|event| vec![event]),
+        4 => release(),
+        4 => spot_removals(),
+        3 => ignored_starts(),
+        1 => failures(),
+    ];
+    let parts = proptest::collection::vec(part, 3..15);
+    (excess_jobs(), parts).prop_map(|(jobs, parts)| {
+        let calm = vec![rounds(300)];
+        [jobs, parts.concat(), calm].concat()
+    })
+}
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -1,17 +1,22 @@
 //! Simulates the leader, the agents, their workers and the store, with the faults that may
 //! occur between them.
 
+mod conditions;
+pub mod full_fleets;
 pub mod recovery;
 pub mod removal;
+pub mod restarts;
 pub mod worker;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use conditions::DisturbanceLog;
 use proptest::prelude::*;
 use proptest::test_runner::TestCaseError;
 use recovery::AbsenceLog;
-use removal::{AgentSuspension, RemovalOrder, VmRemoval};
+use removal::{AgentSuspension, DRAIN_NOTICE, RemovalOrder, VmRemoval};
+use restarts::RestartLog;
 use turmeric_jobs::{
     AttemptKey, AttemptTable, ClockReading, CommitPlan, EndpointInfo, ForgottenJobs, JobCode,
     JobPhase, JobScheduler, JobSpec, JobState, LeaderTimeouts, LeaseGrant, LeaseLimits,
@@ -32,7 +37,7 @@
 /// Leases that are shorter than those of the workers.
 const SHORT_LEASE: LeaseLimits = LeaseLimits::new(Duration::from_secs(1));
 
-const TERMS: LeaderTimeouts = LeaderTimeouts {
+pub const TERMS: LeaderTimeouts = LeaderTimeouts {
     lease: LEASE,
     renewal_window: Duration::from_millis(1400),
     retention: Duration::from_secs(120),
@@ -78,6 +83,9 @@
     Submit { long_running: bool },
     /// A caller submits a long-running job that allows two of its tasks on a VM.
     SubmitLimited,
+    /// A caller submits a long-running job of so many tasks, of which a VM may run two if it is
+    /// limited.
+    SubmitServing { tasks: u32, is_limited: bool },
     /// A caller submits a job whose first task crashes each worker that starts it.
     SubmitCrashing,
     /// A caller submits a job whose tasks save checkpoints.
@@ -111,6 +119,12 @@
         order: RemovalOrder,
         returns_after: Option<u64>,
     },
+    /// A VM announces its end, and is gone so many rounds later.
+    Retire { worker: usize, rounds: u64 },
+    /// A VM that is gone returns as a new one.
+    Register { worker: usize },
+    /// A worker leaves all starts unanswered for so many rounds, and carries out none of them.
+    IgnoreStarts { worker: usize, rounds: u64 },
     /// An agent is suspended for so many rounds: it neither polls, reports nor handles orders, and
     /// then goes on with what it had received.
     SuspendAgent { agent: usize, rounds: u64 },
@@ -181,6 +195,8 @@
     LongWait,
     /// Agents do not report that their workers are unresponsive, so that leaders go on granting.
     HiddenSilence,
+    /// Leaders place nothing while a long-running task that has run does not run.
+    IdlePlacement,
 }
 
 /// Contents of the simulated store.
@@ -350,6 +366,8 @@
     /// Agents that are suspended.
     suspensions: BTreeMap<usize, AgentSuspension>,
     absences: AbsenceLog,
+    disturbances: DisturbanceLog,
+    restarts: RestartLog,
     next_job: u64,
     next_fence: u64,
     next_heartbeat: u64,
@@ -468,6 +486,8 @@
             removals: Vec::new(),
             suspensions: BTreeMap::new(),
             absences: AbsenceLog::default(),
+            disturbances: DisturbanceLog::default(),
+            restarts: RestartLog::default(),
             next_job: 0,
             next_fence: 1,
             next_heartbeat: 0,
@@ -559,6 +579,13 @@
                 spec.steps[0].vm_limit = Some(VM_LIMIT);
                 self.store.accept(JobCode::new(self.next_job), spec);
             }
+            WorldEvent::SubmitServing { tasks, is_limited } => {
+                self.next_job += 1;
+                let mut spec = spec(self.now, true);
+                spec.steps[0].count = *tasks;
+                spec.steps[0].vm_limit = is_limited.then_some(VM_LIMIT);
+                self.store.accept(JobCode::new(self.next_job), spec);
+            }
             WorldEvent::SubmitCrashing => {
                 self.next_job += 1;
                 let mut spec = spec(self.now, false);
@@ -626,7 +653,17 @@
                 drains_before,
                 order,
                 returns_after,
-            } => self.remove_vm(*worker, *drains_before, *order, *returns_after),
+            } => {
+                let notice = if *drains_before { DRAIN_NOTICE } else { 0 };
+                self.remove_vm(*worker, notice, *order, *returns_after);
+            }
+            WorldEvent::Retire { worker, rounds } => {
+                self.remove_vm(*worker, rounds * ROUND, RemovalOrder::Together, None);
+            }
+            WorldEvent::Register { worker } => self.register_vm(*worker),
+            WorldEvent::IgnoreStarts { worker, rounds } => {
+                self.workers[*worker].ignore_starts(self.now + rounds * ROUND);
+            }
             WorldEvent::SuspendAgent { agent, rounds } => self.suspend_agent(*agent, *rounds),
             WorldEvent::Leave { worker, with_agent } => self.leave(*worker, *with_agent),
             WorldEvent::Resize { worker, tasks } => {
@@ -661,7 +698,11 @@
                 seed,
             } => {
                 let mut random = SplitMixRandom::new(*seed);
+                let is_shared = *loss_percent > 0 || *late_percent > 0 || *store_down;
                 for _ in 0..*count {
+                    if is_shared {
+                        self.disturb_shared();
+                    }
                     self.round(
                         &mut random,
                         *loss_percent,
@@ -670,6 +711,9 @@
                         *store_down,
                     );
                 }
+                if is_shared {
+                    self.disturb_shared();
+                }
             }
         }
     }
@@ -787,6 +831,7 @@
     }
 
     fn take_over(&mut self, entry: usize, is_unseen: bool) {
+        self.disturb_shared();
         if !is_unseen {
             self.leaders[1 - entry] = None;
         }
@@ -891,6 +936,8 @@
         }
         self.deliver_replaced(random);
         self.record_absences();
+        self.record_disturbances(cut_agent);
+        self.check_restarts();
     }
 
     /// Replaces an agent's connection: no orders arrive over the earlier one any more, but
@@ -1168,7 +1215,10 @@
         }
         self.handle_intake(entry, &mut leader);
         leader.tick(now);
-        leader.place(now, wall);
+        let is_idle = self.fault == Some(WorldFault::IdlePlacement) && self.has_absences();
+        if !is_idle {
+            leader.place(now, wall);
+        }
         if store_down {
             self.leaders[entry] = Some(leader);
             return;
@@ -1336,6 +1386,9 @@
     pub fn check(&self) -> Result<(), TestCaseError> {
         let violation = self.violations.first().cloned().or(self.violation());
         prop_assert!(violation.is_none(), "{:?}", violation);
+        // A deliberate fault may delay restarts as well.
+        let late = self.late_restart().filter(|_| self.fault.is_none());
+        prop_assert!(late.is_none(), "{:?}", late);
         Ok(())
     }
 
--- a/crates/turmeric-jobs/tests/world/recovery.rs
+++ b/crates/turmeric-jobs/tests/world/recovery.rs
@@ -14,7 +14,7 @@
 #[derive(Debug, Default)]
 pub(super) struct AbsenceLog {
     /// Tasks that have run and do not run now, with the end of the last run.
-    ended_at: BTreeMap<TaskName, u64>,
+    pub(super) ended_at: BTreeMap<TaskName, u64>,
     running: BTreeSet<TaskName>,
     /// Tasks that were absent for too long and run again, with the length of the absence.
     late: Vec<(TaskName, u64)>,
@@ -60,6 +60,11 @@
             .collect()
     }
 
+    /// Returns whether a long-running task that has run does not run.
+    pub(super) fn has_absences(&self) -> bool {
+        !self.absences.ended_at.is_empty()
+    }
+
     /// Returns the number of long-running tasks that run at a worker.
     pub fn long_running_on(&self, worker: usize) -> usize {
         let tasks = self.workers[worker].running().map(|key| key.task);
--- a/crates/turmeric-jobs/tests/world/removal.rs
+++ b/crates/turmeric-jobs/tests/world/removal.rs
@@ -2,11 +2,11 @@
 
 use turmeric_schema::v1;
 
-use super::worker::WorkerSilence;
+use super::worker::{ModelWorker, WorkerSilence};
 use super::{ROUND, World, WorldFault};
 
 /// Time between the announced end of an endpoint and its removal, in milliseconds.
-const DRAIN_NOTICE: u64 = 2_000;
+pub(super) const DRAIN_NOTICE: u64 = 2_000;
 
 /// How a VM ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,18 +73,17 @@
 }
 
 impl World {
-    /// Begins to remove a VM, unless that has begun already.
+    /// Begins to remove a VM, unless that has begun already, with an announced end or without notice.
     pub(super) fn remove_vm(
         &mut self,
         worker: usize,
-        drains_before: bool,
+        notice: u64,
         order: RemovalOrder,
         returns_after: Option<u64>,
     ) {
         if self.removals.iter().any(|removal| removal.worker == worker) {
             return;
         }
-        let notice = if drains_before { DRAIN_NOTICE } else { 0 };
         let worker_lost_at = self.now + notice;
         let agent_rounds = match order {
             RemovalOrder::Together => 0,
@@ -92,7 +91,7 @@
             | RemovalOrder::WorkerSilent { agent_rounds, .. } => agent_rounds,
         };
         let gone_at = worker_lost_at + agent_rounds * ROUND;
-        self.workers[worker].is_draining = drains_before;
+        self.workers[worker].is_draining = notice > 0;
         self.removals.push(VmRemoval {
             worker,
             order,
@@ -146,6 +145,46 @@
         self.end_agent(number);
     }
 
+    /// Adds VMs that are not there yet.
+    pub fn with_spares(mut self, count: usize) -> Self {
+        for _ in 0..count {
+            let number = self.workers.len();
+            let mut worker = ModelWorker::new(&format!("w{number}"));
+            worker.remove();
+            self.workers.push(worker);
+            let agent = self.new_agent(number);
+            self.agents.push(agent);
+            self.removals.push(VmRemoval {
+                worker: number,
+                order: RemovalOrder::Together,
+                worker_lost_at: self.now,
+                gone_at: self.now,
+                returns_at: None,
+                is_gone: true,
+            });
+        }
+        self
+    }
+
+    /// Returns a VM that is gone as a new one.
+    pub(super) fn register_vm(&mut self, worker: usize) {
+        if self.is_gone(worker) {
+            self.removals.retain(|removal| removal.worker != worker);
+            self.return_vm(worker);
+        }
+    }
+
+    /// Returns whether a VM is gone for good, or not there yet.
+    pub(super) fn is_gone(&self, worker: usize) -> bool {
+        let mut removals = self.removals.iter();
+        removals.any(|removal| removal.worker == worker && removal.is_gone)
+    }
+
+    /// Returns whether a VM is gone, or will be soon.
+    pub(super) fn is_being_removed(&self, worker: usize) -> bool {
+        self.removals.iter().any(|removal| removal.worker == worker)
+    }
+
     /// Returns all VMs that are being removed or have been, and resumes all agents.
     pub(super) fn restore_vms(&mut self) {
         for removal in std::mem::take(&mut self.removals) {
@@ -167,9 +206,7 @@
 
     /// Returns whether an agent does nothing: its VM is gone, or it is suspended.
     pub(super) fn is_agent_idle(&self, number: usize) -> bool {
-        let mut removals = self.removals.iter();
-        let is_gone = removals.any(|removal| removal.worker == number && removal.is_gone);
-        is_gone || self.suspensions.contains_key(&number)
+        self.is_gone(number) || self.suspensions.contains_key(&number)
     }
 
     /// Suspends an agent for so many rounds, right after it has reported and before its next poll
--- a/crates/turmeric-jobs/tests/world/worker.rs
+++ b/crates/turmeric-jobs/tests/world/worker.rs
@@ -106,8 +106,12 @@
     /// Unanswered orders, with the time when each is carried out and its fencing token.
     late: Vec<(u64, u64, Order)>,
     pub fail_all: bool,
+    /// How often a schedule had it fail long-running attempts.
+    pub failure_count: u64,
     /// Until when it answers no call.
     silence: Option<(u64, WorkerSilence)>,
+    /// Until when it leaves all starts unanswered.
+    starts_ignored_until: u64,
     /// It has left, and runs nothing until it restarts.
     pub has_left: bool,
     /// Until when it is down after a crash.
@@ -163,7 +167,9 @@
             next_end: 1,
             late: Vec::new(),
             fail_all: false,
+            failure_count: 0,
             silence: None,
+            starts_ignored_until: 0,
             has_left: false,
             down_until: None,
             crashed_by: Vec::new(),
@@ -222,6 +228,7 @@
         self.next_end = 1;
         self.late.clear();
         self.silence = None;
+        self.starts_ignored_until = 0;
         self.has_left = false;
         self.down_until = None;
     }
@@ -231,6 +238,20 @@
         self.silence = Some((until, silence));
     }
 
+    /// Leaves all starts unanswered until `until`, and carries out none of them.
+    pub fn ignore_starts(&mut self, until: u64) {
+        self.starts_ignored_until = until;
+    }
+
+    pub fn ignores_starts(&self, now: u64) -> bool {
+        now < self.starts_ignored_until
+    }
+
+    /// Returns the number of its endpoint and of its incarnation.
+    pub fn start_number(&self) -> (u64, u64) {
+        (self.endpoint_number, self.incarnation)
+    }
+
     fn silence(&self, now: u64) -> Option<WorkerSilence> {
         let (until, silence) = self.silence?;
         (now < until).then_some(silence)
@@ -319,6 +340,7 @@
 
     /// Fails up to `count` of its long-running attempts.
     pub fn fail_long_running(&mut self, count: usize) {
+        self.failure_count += 1;
         let running = self.running.iter();
         let long_running = running.filter(|(_, running)| running.long_running);
         let keys: Vec<AttemptKey> = long_running.take(count).map(|(key, _)| *key).collect();
@@ -473,7 +495,8 @@
         if silence == Some(WorkerSilence::Closed) {
             return (StartAnswer::NotSent, None);
         }
-        if self.has_left || silence == Some(WorkerSilence::Deaf) {
+        let is_lost = silence == Some(WorkerSilence::Deaf) || self.ignores_starts(now);
+        if self.has_left || is_lost {
             return (StartAnswer::Unknown, None);
         }
         if let Some(at) = late_at {
