Let long-running jobs of the model need different numbers of processors

Cause: all tasks of the model were of one size, so that any free place fitted any task. Change: jobs of full fleets need 2, 2.5 or 3.5 processors per task; workers count what their attempts use.

--- a/crates/turmeric-jobs/tests/world/full_fleets.rs
+++ b/crates/turmeric-jobs/tests/world/full_fleets.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 
 use super::removal::{DRAIN_NOTICE, RemovalOrder};
-use super::worker::WorkerSilence;
+use super::worker::{TASK_MILLICORES, WorkerSilence};
 use super::{ROUND, World, WorldEvent, WorldFault};
 
 /// VMs that are not there at first.
@@ -29,8 +29,15 @@
 }
 
 fn serving_job() -> impl Strategy<Value = WorldEvent> {
-    (2..=7_u32, proptest::bool::weighted(0.4))
-        .prop_map(|(tasks, is_limited)| WorldEvent::SubmitServing { tasks, is_limited })
+    let millicores = prop_oneof![Just(TASK_MILLICORES), Just(2_500), Just(3_500)];
+    let is_limited = proptest::bool::weighted(0.4);
+    (2..=7_u32, millicores, is_limited).prop_map(|(tasks, millicores, is_limited)| {
+        WorldEvent::SubmitServing {
+            tasks,
+            millicores,
+            is_limited,
+        }
+    })
 }
 
 /// Long-running jobs that want up to three times what the fleet has, one after another.
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -83,9 +83,13 @@
     Submit { long_running: bool },
     /// A caller submits a long-running job that allows two of its tasks on a VM.
     SubmitLimited,
-    /// A caller submits a long-running job of so many tasks, of which a VM may run two if it is
-    /// limited.
-    SubmitServing { tasks: u32, is_limited: bool },
+    /// A caller submits a long-running job of so many tasks, which need so many thousandths of
+    /// processors each. A VM may run two of them if the job is limited.
+    SubmitServing {
+        tasks: u32,
+        millicores: u64,
+        is_limited: bool,
+    },
     /// A caller submits a job whose first task crashes each worker that starts it.
     SubmitCrashing,
     /// A caller submits a job whose tasks save checkpoints.
@@ -579,10 +583,15 @@
                 spec.steps[0].vm_limit = Some(VM_LIMIT);
                 self.store.accept(JobCode::new(self.next_job), spec);
             }
-            WorldEvent::SubmitServing { tasks, is_limited } => {
+            WorldEvent::SubmitServing {
+                tasks,
+                millicores,
+                is_limited,
+            } => {
                 self.next_job += 1;
                 let mut spec = spec(self.now, true);
                 spec.steps[0].count = *tasks;
+                spec.steps[0].need.cores = CoreCount::from_millicores(*millicores);
                 spec.steps[0].vm_limit = is_limited.then_some(VM_LIMIT);
                 self.store.accept(JobCode::new(self.next_job), spec);
             }
--- a/crates/turmeric-jobs/tests/world/restarts.rs
+++ b/crates/turmeric-jobs/tests/world/restarts.rs
@@ -8,7 +8,6 @@
 };
 use turmeric_schema::{Message, v1};
 
-use super::worker::TASK_MILLICORES;
 use super::{ROUND, TERMS, World};
 
 /// Time between two reviews of the absent tasks by a leader, and a round: a stage may have ended
@@ -114,13 +113,15 @@
         if is_leaving || !is_open || self.is_agent_idle(number) {
             return false;
         }
-        let used = worker.running().count() as u64 * TASK_MILLICORES;
         let first = task.first_of_step();
         let mut running = worker.running().map(|key| key.task.first_of_step());
-        let step = self.store.intake.get(&task.job);
-        let limit = step.and_then(|spec| spec.steps[task.step as usize].vm_limit);
-        used + TASK_MILLICORES <= worker.millicores
-            && limit.is_none_or(|limit| {
+        let Some(spec) = self.store.intake.get(&task.job) else {
+            return false;
+        };
+        let step = &spec.steps[task.step as usize];
+        let need = step.need.cores.as_millicores();
+        worker.used_millicores() + need <= worker.millicores
+            && step.vm_limit.is_none_or(|limit| {
                 running.by_ref().filter(|other| *other == first).count() < limit as usize
             })
     }
--- a/crates/turmeric-jobs/tests/world/worker.rs
+++ b/crates/turmeric-jobs/tests/world/worker.rs
@@ -15,7 +15,7 @@
 /// Longest lease that a worker accepts, in milliseconds, unless a simulation sets another one.
 const LONGEST_LEASE: u64 = 4_100;
 
-/// Processors that a task uses, in thousandths.
+/// Processors that a task uses unless its job sets others, in thousandths.
 pub const TASK_MILLICORES: u64 = 2_000;
 
 /// After this time, in milliseconds, no start may rely on the capacity that a worker had before
@@ -69,6 +69,8 @@
 #[derive(Clone, Debug)]
 struct Running {
     done: u64,
+    /// Processors that it uses, in thousandths.
+    millicores: u64,
     long_running: bool,
     saves: bool,
 }
@@ -434,7 +436,8 @@
                 if has_ended {
                     return None;
                 }
-                let used = (self.running.len() as u64 + 1) * TASK_MILLICORES;
+                let millicores = plan.cores.as_millicores();
+                let used = self.used_millicores() + millicores;
                 if used > self.millicores && !self.accepts_all {
                     return None;
                 }
@@ -461,6 +464,7 @@
                     key,
                     Running {
                         done: 0,
+                        millicores,
                         long_running,
                         saves: plan.text == SAVING_TEXT,
                     },
@@ -618,7 +622,13 @@
 
     /// Returns whether more attempts run than the worker has capacity for.
     pub fn is_overfilled(&self) -> bool {
-        self.running.len() as u64 * TASK_MILLICORES > WORKER_MILLICORES
+        self.used_millicores() > WORKER_MILLICORES
+    }
+
+    /// Returns the processors that its attempts use, in thousandths.
+    pub fn used_millicores(&self) -> u64 {
+        let running = self.running.values();
+        running.map(|running| running.millicores).sum()
     }
 
     pub fn tasks(&self) -> BTreeSet<TaskName> {
