--- a/crates/turmeric-jobs/tests/world/worker.rs
+++ b/crates/turmeric-jobs/tests/world/worker.rs
@@ -15,7 +15,7 @@
 /// Longest lease that a worker accepts, in milliseconds, unless a simulation sets another one.
 const LONGEST_LEASE: u64 = 4_100;
 
-/// Processors that a task uses, in thousandths.
+/// Processors that a task uses unless its job sets others, in thousandths.
 pub const TASK_MILLICORES: u64 = 2_000;
 
 /// After this time, in milliseconds, no start may rely on the capacity that a worker had before
@@ -69,6 +69,8 @@
 #[derive(Clone, Debug)]
 struct Running {
     done: u64,
+    /// Processors that it uses, in thousandths.
+    millicores: u64,
     long_running: bool,
     saves: bool,
 }
@@ -106,8 +108,12 @@
     /// Unanswered orders, with the time when each is carried out and its fencing token.
     late: Vec<(u64, u64, Order)>,
     pub fail_all: bool,
+    /// How often a schedule had it fail long-running attempts.
+    pub failure_count: u64,
     /// Until when it answers no call.
     silence: Option<(u64, WorkerSilence)>,
+    /// Until when it leaves all starts unanswered.
+    starts_ignored_until: u64,
     /// It has left, and runs nothing until it restarts.
     pub has_left: bool,
     /// Until when it is down after a crash.
@@ -163,7 +169,9 @@
             next_end: 1,
             late: Vec::new(),
             fail_all: false,
+            failure_count: 0,
             silence: None,
+            starts_ignored_until: 0,
             has_left: false,
             down_until: None,
             crashed_by: Vec::new(),
@@ -222,6 +230,7 @@
         self.next_end = 1;
         self.late.clear();
         self.silence = None;
+        self.starts_ignored_until = 0;
         self.has_left = false;
         self.down_until = None;
     }
@@ -231,6 +240,20 @@
         self.silence = Some((until, silence));
     }
 
+    /// Leaves all starts unanswered until `until`, and carries out none of them.
+    pub fn ignore_starts(&mut self, until: u64) {
+        self.starts_ignored_until = until;
+    }
+
+    pub fn ignores_starts(&self, now: u64) -> bool {
+        now < self.starts_ignored_until
+    }
+
+    /// Returns the number of its endpoint and of its incarnation.
+    pub fn start_number(&self) -> (u64, u64) {
+        (self.endpoint_number, self.incarnation)
+    }
+
     fn silence(&self, now: u64) -> Option<WorkerSilence> {
         let (until, silence) = self.silence?;
         (now < until).then_some(silence)
@@ -319,6 +342,7 @@
 
     /// Fails up to `count` of its long-running attempts.
     pub fn fail_long_running(&mut self, count: usize) {
+        self.failure_count += 1;
         let running = self.running.iter();
         let long_running = running.filter(|(_, running)| running.long_running);
         let keys: Vec<AttemptKey> = long_running.take(count).map(|(key, _)| *key).collect();
@@ -412,7 +436,8 @@
                 if has_ended {
                     return None;
                 }
-                let used = (self.running.len() as u64 + 1) * TASK_MILLICORES;
+                let millicores = plan.cores.as_millicores();
+                let used = self.used_millicores() + millicores;
                 if used > self.millicores && !self.accepts_all {
                     return None;
                 }
@@ -439,6 +464,7 @@
                     key,
                     Running {
                         done: 0,
+                        millicores,
                         long_running,
                         saves: plan.text == SAVING_TEXT,
                     },
@@ -473,7 +499,8 @@
         if silence == Some(WorkerSilence::Closed) {
             return (StartAnswer::NotSent, None);
         }
-        if self.has_left || silence == Some(WorkerSilence::Deaf) {
+        let is_lost = silence == Some(WorkerSilence::Deaf) || self.ignores_starts(now);
+        if self.has_left || is_lost {
             return (StartAnswer::Unknown, None);
         }
         if let Some(at) = late_at {
@@ -595,7 +622,13 @@
 
     /// Returns whether more attempts run than the worker has capacity for.
     pub fn is_overfilled(&self) -> bool {
-        self.running.len() as u64 * TASK_MILLICORES > WORKER_MILLICORES
+        self.used_millicores() > WORKER_MILLICORES
+    }
+
+    /// Returns the processors that its attempts use, in thousandths.
+    pub fn used_millicores(&self) -> u64 {
+        let running = self.running.values();
+        running.map(|running| running.millicores).sum()
     }
 
     pub fn tasks(&self) -> BTreeSet<TaskName> {
