Log what a restarted agent knows of the tasks that it paces

The agent's log does not tell how many serving steps it measures, nor how many running attempts it has no plan of. The new line tells both when they change.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -21,7 +21,7 @@
 use super::leadership::{CALL_TIMEOUT, follow_leadership, leader_ref, read_leader};
 use super::link::{LinkReader, LinkWriter, connect};
 use super::metrics::{ProcessMetrics, serve_metrics};
-use super::pacing::NeighbourMeasurements;
+use super::pacing::{NeighbourMeasurements, PacingBasis};
 use super::registry::serve_registry;
 use super::worker_loop::{run_commands, run_worker_polls};
 use crate::clock::ProcessClock;
@@ -75,6 +75,8 @@
     pub(crate) measured_at: MonoTime,
     /// Interference between the worker's tasks, as last measured.
     pub(crate) neighbours: NeighbourMeasurements,
+    /// What the shares are chosen from, as last logged.
+    pub(crate) pacing_basis: PacingBasis,
     /// Number of the newest headroom sample.
     pub(crate) measurement_number: u64,
     /// The newest headroom sample, until it is reported.
--- a/crates/turmeric-daemon/src/hosted/pacing.rs
+++ b/crates/turmeric-daemon/src/hosted/pacing.rs
@@ -41,6 +41,7 @@
         }
         self.measured_at = now;
         self.neighbours = self.measure_neighbours(running);
+        self.log_basis();
         self.record_headroom();
         let earlier = self.reduced_shares.clone();
         let shares = self.choose_shares();
@@ -135,6 +136,23 @@
         measurements
     }
 
+    /// Logs what the shares are chosen from, if it has changed.
+    fn log_basis(&mut self) {
+        let basis = PacingBasis {
+            serving_steps: self.neighbours.steps.len(),
+            unplanned: self.table.unplanned_count(),
+        };
+        if basis == self.pacing_basis {
+            return;
+        }
+        let best_effort = self.table.plans().filter(|(_, plan)| plan.is_best_effort);
+        info!("basis of pacing changed", kv: {
+            serving_steps = basis.serving_steps, best_effort = best_effort.count(),
+            unplanned = basis.unplanned
+        });
+        self.pacing_basis = basis;
+    }
+
     /// Stores the newest headroom sample for the next report, if there are serving tasks.
     fn record_headroom(&mut self) {
         if self.neighbours.steps.is_empty() {
@@ -166,6 +184,16 @@
     }
 }
 
+/// What the shares of best-effort tasks are chosen from, as last logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct PacingBasis {
+    /// Number of serving steps that were measured.
+    serving_steps: usize,
+    /// Number of running attempts whose plans the agent does not know; they are neither measured
+    /// nor paced.
+    unplanned: usize,
+}
+
 /// Headroom of the serving tasks and usage of the best-effort tasks of a VM, as last measured.
 #[derive(Debug, Default)]
 pub(crate) struct NeighbourMeasurements {
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -512,6 +512,16 @@
             .filter_map(|(key, attempt)| attempt.plan.as_ref().map(|plan| (key, plan)))
     }
 
+    /// Returns the number of running attempts whose plans this agent does not know, because an
+    /// earlier agent started them.
+    pub fn unplanned_count(&self) -> usize {
+        let running = self
+            .attempts
+            .values()
+            .filter(|attempt| attempt.state == AttemptState::Running);
+        running.filter(|attempt| attempt.plan.is_none()).count()
+    }
+
     /// Builds the report to the leader. What exceeds its limits follows in later reports.
     pub fn report(&self, vm: &str, zone: &str, now: MonoTime) -> VmReport {
         let ends = self.reported_ends();
