Send restarted agents the loads of the tasks that run

Cause: a restarted agent finds the attempts of the earlier one in the worker's list and knows nothing else of them; the leader orders starts only for attempts that are not listed. So the agent measured no serving task and let best-effort tasks beside it work at full speed. By reading, those of the earlier agent kept the pace that it had set, for good. Change: a report marks the attempts whose loads the agent lacks, and the orders that answer it carry them: kind, target, image, processors and reserved space, at most 256 KiB a message; the rest follows. Earlier versions ignore both fields and keep the behaviour that they had. What such an attempt reserves now counts when a VM shrinks. Its pace at the worker is not known, so it is set after the first measurement, also at 100%; until then, starts of other tasks don't change it.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -1,7 +1,6 @@
 //! An agent on the users' platform: reports the state of its worker to the leader and carries
 //! out the leader's orders.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -10,8 +9,8 @@
 use spdlog::{info, warn};
 use tokio::sync::{Notify, watch};
 use turmeric_jobs::{
-    AttemptKey, AttemptTable, EndpointIncarnation, HeadroomSample, HeartbeatVerdict, LeaseLimits,
-    PolicySet, VmReport, WorkerLease,
+    AttemptTable, EndpointIncarnation, HeadroomSample, HeartbeatVerdict, LeaseLimits, PolicySet,
+    VmReport, WorkerLease,
 };
 use turmeric_platform::{CallClient, RegistryHeartbeat, StoreClient, WorkerCalls};
 use turmeric_schema::v1;
@@ -69,8 +68,6 @@
 pub(crate) struct AgentCore {
     pub(crate) policies: PolicySet,
     pub(crate) table: AttemptTable,
-    /// Shares below full speed that were last chosen, in percent.
-    pub(crate) reduced_shares: BTreeMap<AttemptKey, u32>,
     /// When the worker's measurements were last processed.
     pub(crate) measured_at: MonoTime,
     /// Interference between the worker's tasks, as last measured.
@@ -148,7 +145,6 @@
     pub(crate) fn begin_incarnation(&mut self) {
         let incarnation = self.table.incarnation().map(ToString::to_string);
         info!("endpoint started a new incarnation", kv: { life = incarnation.unwrap_or_default() });
-        self.reduced_shares.clear();
         self.headroom = None;
         self.neighbours = NeighbourMeasurements::default();
         self.lease = WorkerLease::new();
--- a/crates/turmeric-daemon/src/hosted/pacing.rs
+++ b/crates/turmeric-daemon/src/hosted/pacing.rs
@@ -43,14 +43,11 @@
         self.neighbours = self.measure_neighbours(running);
         self.log_basis();
         self.record_headroom();
-        let earlier = self.reduced_shares.clone();
-        let shares = self.choose_shares();
+        let mut shares = self.choose_shares();
         // A delayed call may have set another share at the worker, so shares below 100 are
         // set again each time.
+        shares.retain(|(key, share)| self.table.set_pace(key, *share) || *share < 100);
         shares
-            .into_iter()
-            .filter(|(key, share)| *share < 100 || earlier.contains_key(key))
-            .collect()
     }
 
     /// Recomputes the shares after a best-effort task has started.
@@ -60,44 +57,38 @@
     /// Load pattern: several best-effort tasks start at once beside serving tasks near
     /// their latency target, and the next measurement of the interference is half a second
     /// away.
+    ///
+    /// What an earlier agent paced keeps its share until the first measurement beside it.
     pub(crate) fn update_paces_after_start(&mut self) -> Vec<(AttemptKey, u32)> {
-        let earlier = self.reduced_shares.clone();
-        let shares = self.choose_shares();
+        let mut shares = self.choose_shares();
+        shares
+            .retain(|(key, share)| self.table.knows_pace(key) && self.table.set_pace(key, *share));
         shares
-            .into_iter()
-            .filter(|(key, share)| earlier.get(key).copied().unwrap_or(100) != *share)
-            .collect()
     }
 
     /// Chooses the share of each best-effort attempt from the newest measurements, in percent.
-    fn choose_shares(&mut self) -> BTreeMap<AttemptKey, u32> {
+    fn choose_shares(&self) -> Vec<(AttemptKey, u32)> {
         let best_effort = self.best_effort_neighbours();
         let serving = self.neighbours.serving(self.policies.pacing);
         let paces = choose_paces(&serving, &best_effort, self.table.interferences());
-        let attempts = self.table.plans().filter(|(_, plan)| plan.is_best_effort);
-        let shares: BTreeMap<AttemptKey, u32> = attempts
-            .map(|(key, plan)| (*key, paces.get(&plan.image).copied().unwrap_or(100)))
-            .collect();
-        for (key, share) in &shares {
-            self.table.set_pace(key, *share);
-        }
-        let below = shares.iter().filter(|(_, share)| **share < 100);
-        self.reduced_shares = below.map(|(key, share)| (*key, *share)).collect();
-        shares
+        let attempts = self.table.loads().filter(|(_, load)| load.is_best_effort);
+        attempts
+            .map(|(key, load)| (*key, paces.get(&load.image).copied().unwrap_or(100)))
+            .collect()
     }
 
     /// Returns, by best-effort image, the demand now and the usage as last measured.
     fn best_effort_neighbours(&self) -> BTreeMap<String, BestEffortNeighbour> {
         let mut best_effort = BTreeMap::new();
-        for (_, plan) in self.table.plans().filter(|(_, plan)| plan.is_best_effort) {
-            let used = self.neighbours.used.get(&plan.image).copied();
+        for (_, load) in self.table.loads().filter(|(_, load)| load.is_best_effort) {
+            let used = self.neighbours.used.get(&load.image).copied();
             let neighbour = best_effort
-                .entry(plan.image.clone())
+                .entry(load.image.clone())
                 .or_insert(BestEffortNeighbour {
                     wanted: 0.0,
                     used: used.unwrap_or(0.0),
                 });
-            neighbour.wanted += self.processor_fraction(plan.cores.as_millicores());
+            neighbour.wanted += self.processor_fraction(load.cores.as_millicores());
         }
         best_effort
     }
@@ -114,14 +105,14 @@
     /// Aggregates the worker's measurements by serving step and best-effort image.
     fn measure_neighbours(&self, running: &[WorkerRun]) -> NeighbourMeasurements {
         let mut measurements = NeighbourMeasurements::default();
-        for (key, plan) in self.table.plans() {
+        for (key, load) in self.table.loads() {
             let run = running.iter().find(|run| run.status.key == *key);
             let measurement = run.and_then(|run| run.reading);
-            if plan.is_best_effort {
-                let used = measurements.used.entry(plan.image.clone()).or_default();
+            if load.is_best_effort {
+                let used = measurements.used.entry(load.image.clone()).or_default();
                 *used += self.processor_fraction(measurement.unwrap_or(0));
             } else if let (Some(target), Some(tail), true) = (
-                plan.latency_target_millis,
+                load.latency_target_millis,
                 measurement,
                 run.is_some_and(|run| run.status.percent == WORKING_PERCENT),
             ) {
@@ -129,7 +120,7 @@
                 let (_, headrooms) = measurements
                     .steps
                     .entry(step)
-                    .or_insert_with(|| (plan.image.clone(), Vec::new()));
+                    .or_insert_with(|| (load.image.clone(), Vec::new()));
                 headrooms.push(target as f64 / tail.max(1) as f64);
             }
         }
@@ -140,12 +131,12 @@
     fn log_basis(&mut self) {
         let basis = PacingBasis {
             serving_steps: self.neighbours.steps.len(),
-            unplanned: self.table.unplanned_count(),
+            unplanned: self.table.unplanned().count(),
         };
         if basis == self.pacing_basis {
             return;
         }
-        let best_effort = self.table.plans().filter(|(_, plan)| plan.is_best_effort);
+        let best_effort = self.table.loads().filter(|(_, load)| load.is_best_effort);
         info!("basis of pacing changed", kv: {
             serving_steps = basis.serving_steps, best_effort = best_effort.count(),
             unplanned = basis.unplanned
@@ -189,7 +180,7 @@
 pub(crate) struct PacingBasis {
     /// Number of serving steps that were measured.
     serving_steps: usize,
-    /// Number of running attempts whose plans the agent does not know; they are neither measured
+    /// Number of running attempts whose loads the agent does not know; they are neither measured
     /// nor paced.
     unplanned: usize,
 }
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -329,7 +329,7 @@
         WorkerCommand::Start(plan) => {
             core.table
                 .handle_start_answer(key, start_answer(answer), now);
-            if plan.is_best_effort && answer == WorkerAnswer::Done {
+            if plan.load.is_best_effort && answer == WorkerAnswer::Done {
                 paced = core.update_paces_after_start();
             }
         }
--- a/crates/turmeric-jobs/benches/leader.rs
+++ b/crates/turmeric-jobs/benches/leader.rs
@@ -58,6 +58,7 @@
         has_more_ends: false,
         lease_wait: None,
         is_stopping: false,
+        unplanned: Vec::new(),
     }
 }
 
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -20,7 +20,7 @@
 };
 pub use heartbeats::HeartbeatVerdict;
 use heartbeats::{EndpointCandidate, HeartbeatRun};
-use tracked::{AttemptState, FreeCapacity, TrackedAttempt};
+use tracked::{AttemptPlan, AttemptState, FreeCapacity, TrackedAttempt};
 
 /// Age at which orders no longer start attempts, because a zone may have been taken out of
 /// service since. The platform's bound is 5 s, of which 3 s are left for the other hops.
@@ -60,6 +60,16 @@
     pub text: String,
     /// Checkpoint to resume from; empty if there is none.
     pub checkpoint: String,
+    /// Load of the task on its VM.
+    pub load: TaskLoad,
+    /// The task may have crashed another endpoint. Its start is sent only right after the worker
+    /// has answered another call, so that hardly any is ordered at a worker that is gone.
+    pub is_suspect: bool,
+}
+
+/// Load of a task on its VM, by which the agent paces tasks and counts what they reserve.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskLoad {
     /// The task is best-effort: it uses only idle processors.
     pub is_best_effort: bool,
     /// Tail latency that a serving task must keep, in milliseconds.
@@ -70,9 +80,6 @@
     pub cores: CoreCount,
     /// Resources that the task reserves on the VM; none from an earlier version of the leader.
     pub reserved: ResourceSet,
-    /// The task may have crashed another endpoint. Its start is sent only right after the worker
-    /// has answered another call, so that hardly any is ordered at a worker that is gone.
-    pub is_suspect: bool,
 }
 
 /// Command to send to the worker.
@@ -369,8 +376,8 @@
             is_exceeded: false,
         };
         let sent = self.attempts.values().filter(|attempt| attempt.was_sent);
-        for plan in sent.filter_map(|attempt| attempt.plan.as_ref()) {
-            free.take(&plan.reserved);
+        for load in sent.filter_map(|attempt| attempt.plan.load()) {
+            free.take(&load.reserved);
         }
         free
     }
@@ -404,16 +411,18 @@
                 }
                 (AttemptState::StartDue, _) if is_draining => attempt.state = AttemptState::StopDue,
                 // The capacity has shrunk since the leader placed the attempt.
-                (AttemptState::StartDue, Some(plan)) if !free.can_start(attempt, plan) => {
+                (AttemptState::StartDue, AttemptPlan::Ordered(plan))
+                    if !free.can_start(attempt, &plan.load) =>
+                {
                     if attempt.was_sent {
                         attempt.state = AttemptState::StopDue;
                     } else {
                         refused.push(*key);
                     }
                 }
-                (AttemptState::StartDue, Some(plan)) if is_fresh => {
+                (AttemptState::StartDue, AttemptPlan::Ordered(plan)) if is_fresh => {
                     if !attempt.was_sent {
-                        free.take(&plan.reserved);
+                        free.take(&plan.load.reserved);
                     }
                     attempt.state = AttemptState::Starting;
                     attempt.was_sent = true;
@@ -493,10 +502,23 @@
     }
 
     /// Records the pace at which an attempt may work, in percent of its full speed.
-    pub fn set_pace(&mut self, key: &AttemptKey, percent: u32) {
-        if let Some(attempt) = self.attempts.get_mut(key) {
-            attempt.status.pace = percent;
-        }
+    ///
+    /// Returns whether the worker may have another pace.
+    pub fn set_pace(&mut self, key: &AttemptKey, percent: u32) -> bool {
+        let Some(attempt) = self.attempts.get_mut(key) else {
+            return false;
+        };
+        let is_new = !attempt.is_pace_known || attempt.status.pace != percent;
+        attempt.status.pace = percent;
+        attempt.is_pace_known = true;
+        is_new
+    }
+
+    /// Returns whether this agent knows the pace of an attempt at the worker; an earlier agent may
+    /// have set it.
+    pub fn knows_pace(&self, key: &AttemptKey) -> bool {
+        let attempt = self.attempts.get(key);
+        attempt.is_some_and(|attempt| attempt.is_pace_known)
     }
 
     /// Returns the interference between images, as last sent by the leader.
@@ -504,22 +526,23 @@
         &self.interferences
     }
 
-    /// Returns the running attempts that this agent was ordered to start, with their plans.
-    pub fn plans(&self) -> impl Iterator<Item = (&AttemptKey, &StartPlan)> {
-        self.attempts
-            .iter()
-            .filter(|(_, attempt)| attempt.state == AttemptState::Running)
-            .filter_map(|(key, attempt)| attempt.plan.as_ref().map(|plan| (key, plan)))
+    /// Returns the running attempts whose loads this agent knows.
+    pub fn loads(&self) -> impl Iterator<Item = (&AttemptKey, &TaskLoad)> {
+        let running = self.running_attempts();
+        running.filter_map(|(key, attempt)| attempt.plan.load().map(|load| (key, load)))
     }
 
-    /// Returns the number of running attempts whose plans this agent does not know, because an
-    /// earlier agent started them.
-    pub fn unplanned_count(&self) -> usize {
-        let running = self
-            .attempts
-            .values()
-            .filter(|attempt| attempt.state == AttemptState::Running);
-        running.filter(|attempt| attempt.plan.is_none()).count()
+    /// Returns the running attempts whose loads this agent does not know, because an earlier agent
+    /// started them.
+    pub fn unplanned(&self) -> impl Iterator<Item = &AttemptKey> {
+        let running = self.running_attempts();
+        let unplanned = running.filter(|(_, attempt)| attempt.plan.load().is_none());
+        unplanned.map(|(key, _)| key)
+    }
+
+    fn running_attempts(&self) -> impl Iterator<Item = (&AttemptKey, &TrackedAttempt)> {
+        let attempts = self.attempts.iter();
+        attempts.filter(|(_, attempt)| attempt.state == AttemptState::Running)
     }
 
     /// Builds the report to the leader. What exceeds its limits follows in later reports.
@@ -547,6 +570,7 @@
             has_more_ends,
             lease_wait: None,
             is_stopping: self.is_stopping,
+            unplanned: self.unplanned().copied().collect(),
         }
     }
 
--- a/crates/turmeric-jobs/src/attempts/lists.rs
+++ b/crates/turmeric-jobs/src/attempts/lists.rs
@@ -4,7 +4,7 @@
 
 use turmeric_types::MonoTime;
 
-use super::tracked::{AttemptState, TrackedAttempt};
+use super::tracked::{AttemptPlan, AttemptState, TrackedAttempt};
 use super::{AttemptTable, WorkerLists};
 use crate::{AttemptKey, AttemptStatus};
 
@@ -90,7 +90,7 @@
             } else {
                 AttemptState::Running
             },
-            plan: None,
+            plan: AttemptPlan::Unknown,
             was_sent: true,
             may_have_run: true,
             awaits_probe: false,
@@ -99,6 +99,7 @@
             changed_at: self.changes,
             is_unlisted: false,
             status,
+            is_pace_known: false,
         };
         self.attempts.insert(key, attempt);
         true
--- a/crates/turmeric-jobs/src/attempts/orders.rs
+++ b/crates/turmeric-jobs/src/attempts/orders.rs
@@ -6,8 +6,8 @@
 use turmeric_schema::v1;
 use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet};
 
-use super::tracked::{AttemptState, TrackedAttempt};
-use super::{AttemptTable, FULL_PACE, StartPlan};
+use super::tracked::{AttemptPlan, AttemptState, TrackedAttempt};
+use super::{AttemptTable, FULL_PACE, StartPlan, TaskLoad};
 use crate::{AttemptKey, AttemptStatus, InterferenceTable, LeaseGrant, NameError, read_key};
 
 impl AttemptTable {
@@ -29,6 +29,11 @@
             .iter()
             .map(read_start)
             .collect::<Result<Vec<_>, _>>()?;
+        let loads = orders
+            .loads
+            .iter()
+            .map(|load| Ok((read_key(load.key.as_ref())?, read_load(load))))
+            .collect::<Result<Vec<_>, NameError>>()?;
         let keep = orders
             .keep
             .iter()
@@ -71,6 +76,9 @@
         self.ends = self.ends.split_off(&(self.recorded_end + 1));
         self.refused.retain(|key| keep.contains(key));
         self.drop_revoked(&keep, now);
+        for (key, load) in loads {
+            self.restore_load(&key, load);
+        }
         for plan in starts {
             if keep.contains(&plan.key) {
                 self.add_attempt(plan, now);
@@ -99,6 +107,15 @@
         }
     }
 
+    /// Records the load of an attempt that an earlier agent started.
+    fn restore_load(&mut self, key: &AttemptKey, load: TaskLoad) {
+        if let Some(attempt) = self.attempts.get_mut(key)
+            && matches!(attempt.plan, AttemptPlan::Unknown)
+        {
+            attempt.plan = AttemptPlan::Restored(load);
+        }
+    }
+
     fn add_attempt(&mut self, plan: StartPlan, now: MonoTime) {
         let key = plan.key;
         let has_ended = self.ends.values().any(|end| end.key == key);
@@ -114,7 +131,7 @@
         };
         let attempt = TrackedAttempt {
             state: AttemptState::StartDue,
-            plan: Some(plan),
+            plan: AttemptPlan::Ordered(plan),
             // An earlier agent may have sent it, and its end may not be listed.
             was_sent: self.has_more_ends,
             may_have_run: false,
@@ -124,6 +141,7 @@
             changed_at: 0,
             is_unlisted: false,
             status,
+            is_pace_known: true,
         };
         self.attempts.insert(key, attempt);
     }
@@ -134,16 +152,33 @@
         key: read_key(order.key.as_ref())?,
         text: order.text.clone(),
         checkpoint: order.checkpoint.clone(),
-        is_best_effort: order.fills,
-        latency_target_millis: (order.latency_target_millis > 0)
-            .then_some(order.latency_target_millis),
-        image: order.image.clone(),
-        cores: CoreCount::from_millicores(order.millicores),
-        reserved: ResourceSet::new(
-            CoreCount::from_millicores(order.reserved_millicores),
-            MemorySize::new(order.reserved_memory_bytes),
-            AcceleratorCount::new(order.reserved_accelerators),
-        ),
+        load: TaskLoad {
+            is_best_effort: order.fills,
+            latency_target_millis: (order.latency_target_millis > 0)
+                .then_some(order.latency_target_millis),
+            image: order.image.clone(),
+            cores: CoreCount::from_millicores(order.millicores),
+            reserved: ResourceSet::new(
+                CoreCount::from_millicores(order.reserved_millicores),
+                MemorySize::new(order.reserved_memory_bytes),
+                AcceleratorCount::new(order.reserved_accelerators),
+            ),
+        },
         is_suspect: order.suspect,
     })
 }
+
+fn read_load(message: &v1::RunLoad) -> TaskLoad {
+    TaskLoad {
+        is_best_effort: message.fills,
+        latency_target_millis: (message.latency_target_millis > 0)
+            .then_some(message.latency_target_millis),
+        image: message.image.clone(),
+        cores: CoreCount::from_millicores(message.millicores),
+        reserved: ResourceSet::new(
+            CoreCount::from_millicores(message.reserved_millicores),
+            MemorySize::new(message.reserved_memory_bytes),
+            AcceleratorCount::new(message.reserved_accelerators),
+        ),
+    }
+}
--- a/crates/turmeric-jobs/src/attempts/tracked.rs
+++ b/crates/turmeric-jobs/src/attempts/tracked.rs
@@ -2,7 +2,7 @@
 
 use turmeric_types::{MonoTime, ResourceSet};
 
-use super::StartPlan;
+use super::{StartPlan, TaskLoad};
 use crate::AttemptStatus;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,10 +21,32 @@
     Stopped { mark: u64 },
 }
 
+/// What the agent knows of the order to start an attempt.
+#[derive(Clone, Debug)]
+pub(super) enum AttemptPlan {
+    /// An earlier agent was ordered to start it.
+    Unknown,
+    /// An earlier agent was ordered to start it, and the leader has sent its load since.
+    Restored(TaskLoad),
+    /// This agent was ordered to start it.
+    Ordered(StartPlan),
+}
+
+impl AttemptPlan {
+    /// Returns the load of the task, if it is known.
+    pub(super) fn load(&self) -> Option<&TaskLoad> {
+        match self {
+            Self::Unknown => None,
+            Self::Restored(load) => Some(load),
+            Self::Ordered(plan) => Some(&plan.load),
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct TrackedAttempt {
     pub(super) state: AttemptState,
-    pub(super) plan: Option<StartPlan>,
+    pub(super) plan: AttemptPlan,
     /// A start was sent, so the worker may have the attempt.
     pub(super) was_sent: bool,
     /// The worker may have carried out a start.
@@ -40,6 +62,9 @@
     /// The last list shows it neither running nor ended, and may lack its end.
     pub(super) is_unlisted: bool,
     pub(super) status: AttemptStatus,
+    /// The worker has the pace in `status` unless a call is delayed. An earlier agent may have set
+    /// another one.
+    pub(super) is_pace_known: bool,
 }
 
 impl TrackedAttempt {
@@ -63,11 +88,11 @@
     }
 
     /// Returns whether an attempt may be started. One that was sent before is accounted for.
-    pub(super) fn can_start(&self, attempt: &TrackedAttempt, plan: &StartPlan) -> bool {
+    pub(super) fn can_start(&self, attempt: &TrackedAttempt, load: &TaskLoad) -> bool {
         if attempt.was_sent {
             !self.is_exceeded
         } else {
-            plan.reserved.fits_in(&self.left)
+            load.reserved.fits_in(&self.left)
         }
     }
 }
--- a/crates/turmeric-jobs/src/lib.rs
+++ b/crates/turmeric-jobs/src/lib.rs
@@ -31,8 +31,8 @@
 
 pub use admission::{AdmissionDecision, QueueDelay, WorkDelay, admit};
 pub use attempts::{
-    AttemptTable, HeartbeatVerdict, PollFailure, StartAnswer, StartPlan, StopAnswer, WorkerCommand,
-    WorkerLists,
+    AttemptTable, HeartbeatVerdict, PollFailure, StartAnswer, StartPlan, StopAnswer, TaskLoad,
+    WorkerCommand, WorkerLists,
 };
 pub use cancellations::CancelBudget;
 pub use crashes::{
--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -193,6 +193,9 @@
     pub lease_wait: Option<Duration>,
     /// The agent is shutting down and starts nothing more.
     pub is_stopping: bool,
+    /// Those of the attempts whose loads the agent does not know, because an earlier agent started
+    /// them; none from an earlier version of the agent.
+    pub unplanned: Vec<AttemptKey>,
 }
 
 /// Encodes the key of an attempt as a message.
@@ -219,6 +222,11 @@
 impl VmReport {
     /// Encodes the report as a message.
     pub fn write(&self) -> v1::VmReport {
+        let unplanned: BTreeSet<&AttemptKey> = self.unplanned.iter().collect();
+        let write_run = |attempt: &AttemptStatus| v1::RunReport {
+            unplanned: unplanned.contains(&attempt.key),
+            ..write_attempt(attempt)
+        };
         v1::VmReport {
             vm: self.vm.clone(),
             zone: self.zone.clone(),
@@ -227,7 +235,7 @@
             life: self.endpoint_info.as_ref().map(EndpointInfo::write),
             synced: self.is_synced,
             over: self.is_terminated,
-            runs: self.attempts.iter().map(write_attempt).collect(),
+            runs: self.attempts.iter().map(write_run).collect(),
             ends: self.ends.iter().map(write_end).collect(),
             refused: self.refused.iter().map(write_key).collect(),
             taken_orders: self.applied_orders,
@@ -259,6 +267,8 @@
                 is_confirmed: attempt.confirmed,
             })
         });
+        let unplanned = message.runs.iter().filter(|attempt| attempt.unplanned);
+        let unplanned = unplanned.map(|attempt| read_key(attempt.key.as_ref()));
         let ends = message.ends.iter().map(|end| {
             Ok(AttemptEnd {
                 number: end.number,
@@ -290,6 +300,7 @@
             lease_wait: (message.lease_wait_millis > 0)
                 .then(|| Duration::from_millis(message.lease_wait_millis)),
             is_stopping: message.stopping,
+            unplanned: unplanned.collect::<Result<_, NameError>>()?,
         })
     }
 }
@@ -357,6 +368,7 @@
         percent: attempt.percent,
         pace_percent: attempt.pace,
         confirmed: attempt.is_confirmed,
+        unplanned: false,
     }
 }
 
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -316,6 +316,7 @@
             return;
         };
         vm.listed = listed;
+        vm.unplanned.clone_from(&report.unplanned);
         vm.has_more_ends = report.has_more_ends;
         vm.attempts.extend(unknown);
         for status in &report.attempts {
--- a/crates/turmeric-jobs/src/scheduler/losses.rs
+++ b/crates/turmeric-jobs/src/scheduler/losses.rs
@@ -185,6 +185,7 @@
             .map(|(key, _)| *key)
             .collect();
         vm.listed.clear();
+        vm.unplanned.clear();
         self.remove_attempts(name, lost_keys, cause)
     }
 
--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -23,6 +23,12 @@
 /// Most bytes of the interference between images in one message.
 const INTERFERENCE_LIMIT: usize = 256 << 10;
 
+/// Most bytes of the loads in one message.
+const LOAD_LIMIT: usize = 256 << 10;
+
+/// Bytes of a load beside the name of its image.
+const LOAD_BYTES: usize = 96;
+
 /// Bytes of a pair of images beside their names.
 const PAIR_BYTES: usize = 16;
 
@@ -111,9 +117,48 @@
             store_silence_millis: now.since(self.confirmed_at).as_millis() as u64,
             gains: self.interference(name),
             answered_millis: stamp,
+            loads: self.unplanned_loads(name),
         })
     }
 
+    /// Returns the loads that the agent of a VM lacks. What exceeds the limit follows once a report
+    /// no longer lists these.
+    ///
+    /// Load pattern: an agent is restarted beside a worker that keeps running its tasks. Until it
+    /// knows their loads, it measures no serving task and paces no best-effort task.
+    fn unplanned_loads(&self, name: &str) -> Vec<v1::RunLoad> {
+        let Some(vm) = self.vms.get(name) else {
+            return Vec::new();
+        };
+        let loads = vm.unplanned.iter().filter_map(|key| {
+            let step = self
+                .jobs
+                .get(&key.task.job)?
+                .spec
+                .steps
+                .get(key.task.step as usize)?;
+            let attempt = vm.attempts.get(key);
+            let reserved = attempt.map_or_else(|| step.reserved(), |attempt| attempt.reserved);
+            Some(v1::RunLoad {
+                key: Some(write_key(key)),
+                fills: step.is_best_effort,
+                latency_target_millis: step.latency_target_millis.unwrap_or_default(),
+                image: step.image.clone().unwrap_or_default(),
+                millicores: step.need.cores.as_millicores(),
+                reserved_millicores: reserved.cores.as_millicores(),
+                reserved_memory_bytes: reserved.memory.as_bytes(),
+                reserved_accelerators: reserved.accelerators.get(),
+            })
+        });
+        let mut bytes = 0;
+        let fitting = loads.take_while(|load| {
+            let is_first = bytes == 0;
+            bytes += load.image.len() + LOAD_BYTES;
+            is_first || bytes <= LOAD_LIMIT
+        });
+        fitting.collect()
+    }
+
     /// Takes back attempts on a VM that were never ordered, if the VM's capacity has shrunk or
     /// its availability zone was taken out of service since they were placed, or if the store
     /// refuses the row that would record them.
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -209,6 +209,8 @@
     pub(crate) has_more_ends: bool,
     /// Attempts that the last report listed.
     pub(crate) listed: BTreeSet<AttemptKey>,
+    /// Those of them whose loads the agent does not know.
+    pub(crate) unplanned: Vec<AttemptKey>,
     /// Ends whose effect the store does not hold yet, by number, with the job and its revision
     /// that includes the effect.
     pub(crate) unrecorded_ends: BTreeMap<u64, (JobCode, u64)>,
@@ -244,6 +246,7 @@
             expired: Vec::new(),
             has_more_ends: false,
             listed: BTreeSet::new(),
+            unplanned: Vec::new(),
             unrecorded_ends: BTreeMap::new(),
             last_end: 0,
             last_measurement: 0,
--- a/crates/turmeric-jobs/tests/consolidation.rs
+++ b/crates/turmeric-jobs/tests/consolidation.rs
@@ -309,6 +309,7 @@
             has_more_ends: false,
             lease_wait: None,
             is_stopping: false,
+            unplanned: Vec::new(),
         }
     }
 
--- a/crates/turmeric-jobs/tests/exclusions.rs
+++ b/crates/turmeric-jobs/tests/exclusions.rs
@@ -335,6 +335,7 @@
         has_more_ends: false,
         lease_wait: None,
         is_stopping: false,
+        unplanned: Vec::new(),
     }
 }
 
--- a/crates/turmeric-jobs/tests/fleet/mod.rs
+++ b/crates/turmeric-jobs/tests/fleet/mod.rs
@@ -255,6 +255,7 @@
             has_more_ends: false,
             lease_wait: None,
             is_stopping: false,
+            unplanned: Vec::new(),
         }
     }
 
--- a/crates/turmeric-jobs/tests/restarted_agents.rs
+++ b/crates/turmeric-jobs/tests/restarted_agents.rs
@@ -8,18 +8,20 @@
 use fleet::pair::Pair;
 use rstest::rstest;
 use turmeric_jobs::{
-    AttemptKey, AttemptStatus, AttemptTable, JobCode, JobSpec, StartAnswer, StepSpec, WorkerLists,
+    AttemptKey, AttemptNumber, AttemptStatus, AttemptTable, JobCode, JobSpec, StartAnswer,
+    StepSpec, VmReport, WorkerLists, write_key,
 };
+use turmeric_schema::Message;
 use turmeric_types::{CoreCount, WallTime};
 
 /// What an agent must know of a running task to pace it.
 type KnownLoad = (AttemptKey, bool, Option<u64>, String, CoreCount);
 
 fn known_loads(table: &AttemptTable) -> Vec<KnownLoad> {
-    let known = table.plans().map(|(key, plan)| {
-        let image = plan.image.clone();
-        let (target, cores) = (plan.latency_target_millis, plan.cores);
-        (*key, plan.is_best_effort, target, image, cores)
+    let known = table.loads().map(|(key, load)| {
+        let image = load.image.clone();
+        let (target, cores) = (load.latency_target_millis, load.cores);
+        (*key, load.is_best_effort, target, image, cores)
     });
     known.collect()
 }
@@ -95,3 +97,103 @@
     pair.exchange();
     assert_eq!(known_loads(&pair.table), known);
 }
+
+/// Guards against best-effort tasks that stay slowed for good: an earlier agent may have set their
+/// pace, which the worker does not list.
+#[test]
+fn pace_of_a_task_of_an_earlier_agent_is_set_even_at_full_speed() {
+    let mut pair = Pair::new();
+    let key = start(&mut pair, 1, best_effort_step());
+    assert!(pair.table.knows_pace(&key));
+    assert!(!pair.table.set_pace(&key, 100));
+    restart_agent(&mut pair, &[key]);
+    pair.exchange();
+    assert!(!pair.table.knows_pace(&key));
+    assert!(pair.table.set_pace(&key, 100));
+    assert!(pair.table.knows_pace(&key));
+    assert!(!pair.table.set_pace(&key, 100));
+}
+
+/// Guards against loads that are sent again with each message, and to agents that know them.
+#[test]
+fn loads_are_sent_until_the_agent_knows_them() {
+    let mut pair = Pair::new();
+    let key = start(&mut pair, 1, serving_step());
+    let count_loads = |pair: &mut Pair| {
+        let now = pair.fleet.now();
+        pair.fleet.leader.orders("w0", now).unwrap().loads.len()
+    };
+    pair.exchange();
+    assert_eq!(count_loads(&mut pair), 0);
+    restart_agent(&mut pair, &[key]);
+    pair.report(false);
+    // The first orders are lost.
+    assert_eq!(count_loads(&mut pair), 1);
+    assert_eq!(count_loads(&mut pair), 1);
+    pair.exchange();
+    pair.exchange();
+    assert_eq!(count_loads(&mut pair), 0);
+}
+
+/// Guards against reports and orders of an earlier version that are misread: it neither asks for
+/// loads nor sends any.
+#[test]
+fn earlier_versions_ask_for_no_loads_and_send_none() {
+    let mut pair = Pair::new();
+    let key = start(&mut pair, 1, serving_step());
+    restart_agent(&mut pair, &[key]);
+    let (now, wall) = (pair.fleet.now(), pair.fleet.wall());
+    let mut message = pair.table.report("w0", "morava-a", now).write();
+    for run in &mut message.runs {
+        run.unplanned = false;
+    }
+    let report = VmReport::read(message).unwrap();
+    pair.fleet.leader.handle_report(report, now, wall);
+    let orders = pair.fleet.leader.orders("w0", now).unwrap();
+    assert!(orders.loads.is_empty());
+    assert!(pair.table.apply_orders(&orders, now).unwrap());
+    assert_eq!(pair.table.unplanned().collect::<Vec<_>>(), [&key]);
+    // A leader of this version is told at the next report.
+    pair.exchange();
+    assert_eq!(pair.table.unplanned().count(), 0);
+}
+
+/// Guards against orders that exceed the limit of a message: hundreds of tasks have long names of
+/// images. All loads arrive, over several messages.
+#[test]
+fn loads_that_exceed_a_message_follow_in_later_ones() {
+    const TASKS: u32 = 300;
+    const MESSAGE_LIMIT: usize = 2 << 20;
+    let mut pair = Pair::new();
+    let (code, wall) = (JobCode::new(1), pair.fleet.wall());
+    let step = StepSpec {
+        count: TASKS,
+        image: Some("i".repeat(4_000)),
+        ..best_effort_step()
+    };
+    let spec = JobSpec {
+        steps: vec![step],
+        ..fleet::spec(1, 60, wall)
+    };
+    pair.fleet.leader.add_job(code, spec, wall);
+    let key = |index| AttemptKey {
+        task: format!("{code}.0.0.{index}").parse().unwrap(),
+        attempt: AttemptNumber::new(1),
+    };
+    let running: Vec<AttemptKey> = (0..TASKS).map(key).collect();
+    restart_agent(&mut pair, &running);
+    let mut messages = 0;
+    while pair.table.unplanned().count() > 0 {
+        messages += 1;
+        assert!(messages <= 10, "{} left", pair.table.unplanned().count());
+        pair.report(false);
+        let now = pair.fleet.now();
+        let mut orders = pair.fleet.leader.orders("w0", now).unwrap();
+        assert!(orders.encoded_len() < MESSAGE_LIMIT / 2);
+        // No store has recorded these attempts, so that the leader would stop them.
+        orders.keep = running.iter().map(write_key).collect();
+        assert!(pair.table.apply_orders(&orders, now).unwrap());
+    }
+    assert!(messages > 1);
+    assert_eq!(pair.table.loads().count(), running.len());
+}
--- a/crates/turmeric-jobs/tests/scene/mod.rs
+++ b/crates/turmeric-jobs/tests/scene/mod.rs
@@ -174,6 +174,7 @@
             has_more_ends: false,
             lease_wait: None,
             is_stopping: false,
+            unplanned: Vec::new(),
         };
         let (now, wall) = (self.mono(), self.wall());
         self.leader.handle_report(report, now, wall);
--- a/crates/turmeric-jobs/tests/shedding.rs
+++ b/crates/turmeric-jobs/tests/shedding.rs
@@ -192,6 +192,7 @@
             has_more_ends: false,
             lease_wait: None,
             is_stopping: false,
+            unplanned: Vec::new(),
         }
     }
 
--- a/crates/turmeric-jobs/tests/world/worker.rs
+++ b/crates/turmeric-jobs/tests/world/worker.rs
@@ -434,7 +434,7 @@
                     let text = format!("{} resumes from {}", key.task, plan.checkpoint);
                     self.wrong_starts.push(text);
                 }
-                let long_running = plan.latency_target_millis.is_some();
+                let long_running = plan.load.latency_target_millis.is_some();
                 self.running.insert(
                     key,
                     Running {
