Check the VMs once for each step of interrupted tasks that fit none

Cause, by reading: the leader looked for space for every interrupted task in each tick and each round, and checked all VMs for each of them. A thousand of them on 160 VMs are 160,000 checks a time, 85 times a second. Change: the first task of a step that fits nowhere stands for the others, except where it must avoid a VM; ticks look only while an endpoint leaves. Not measured at scale.

--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -407,7 +407,6 @@
         self.expire_reservations(now);
         self.expire_rejections(now);
         self.revoke_moves(now);
-        self.reserve_restarts(now);
         // An evicted task resumes elsewhere only after the store has recorded its new attempt.
         if self.may_evict(now) {
             self.evict_stalled(now);
--- a/crates/turmeric-jobs/src/scheduler/moves.rs
+++ b/crates/turmeric-jobs/src/scheduler/moves.rs
@@ -1,6 +1,6 @@
 //! Moves of long-running tasks to other VMs, with the space that is reserved for them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use turmeric_types::MonoTime;
@@ -115,8 +115,17 @@
         interrupted.sort_by_key(|task| (self.absent_since(task).unwrap_or(now), *task));
         let mut vms = self.fleet_capacity(now).vms;
         vms.retain(|_, capacity| !capacity.is_suspect);
+        // Steps whose tasks fit no VM. Hundreds of tasks may wait, and checking all VMs for each of
+        // them takes more time than all the rest of a placement.
+        let mut full_steps: BTreeSet<TaskName> = BTreeSet::new();
         for task in interrupted {
+            if full_steps.contains(&task.first_of_step()) {
+                continue;
+            }
             let Some(target) = self.choose_target("", &task, &mut vms, now) else {
+                if self.avoided_vm(&task, now).is_none() {
+                    full_steps.insert(task.first_of_step());
+                }
                 continue;
             };
             if self.may_reserve(&task, &target, now) {
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -118,6 +118,7 @@
         if draining.is_empty() && self.count_moves(EvictionCause::Draining) == 0 {
             return;
         }
+        self.reserve_restarts(now);
         let mut fleet = self.fleet_capacity(now);
         self.replace_lost_targets(&mut fleet, now);
         for (name, key) in draining {
