Write a refused row soon again while a long-running task of its job is away

What callers saw: a long-running task did not run for over ten seconds beside room, although the store refused the row of its job only once. The platform allows 9 s.

Cause: each row at fault was left out for 10 s, whatever waited for it, and all rows that were due were then tried at once, with nothing else written until each had been tried.

The rows of jobs with an absent long-running task are written again after 0.5 s, 1 s and then every 2 s; placement, record and start follow within 4.5 s. The wait is also shortened if the task becomes absent later. Other rows wait for 10 s as before. One refused row is written at a time, at most every 0.1 s, and an ordinary transaction lies between two that are refused; once one is accepted, all that are due follow together. Tasks of a job are placed only once a row of it is accepted again, no longer while its retry is under way.

--- a/crates/turmeric-jobs/src/scheduler/absences.rs
+++ b/crates/turmeric-jobs/src/scheduler/absences.rs
@@ -3,13 +3,14 @@
 //! Load pattern: VMs are lost and replaced while the fleet is full. On its way to the next run a
 //! task passes through several waits, some of which follow from a promise and have a bound.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use turmeric_types::MonoTime;
 
 use super::moves::{FleetCapacity, MOVE_TIMEOUT};
 use super::notes::JobEvent;
+use super::refusals::RowOwner;
 use super::{JobScheduler, LeaderTimeouts};
 use crate::{AttemptKey, JobCode, JobState, PlacementRequest, TaskName, TaskState, VmCapacity};
 
@@ -207,6 +208,9 @@
         for event in events {
             self.events.push(event);
         }
+        let jobs: BTreeSet<JobCode> = absences.keys().map(|task| task.job).collect();
+        self.refusals
+            .hasten(|owner| matches!(owner, RowOwner::Job(code) if jobs.contains(code)));
         self.absences = AbsenceTable {
             absences,
             review_due: now.after(REVIEW_INTERVAL),
--- a/crates/turmeric-jobs/src/scheduler/commit.rs
+++ b/crates/turmeric-jobs/src/scheduler/commit.rs
@@ -124,7 +124,11 @@
         } else {
             COMMIT_INTERVAL
         };
-        let due = self.committed_at.after(interval);
+        let mut due = self.committed_at.after(interval);
+        if let Some(readmission) = self.refusals.readmission_due() {
+            let earliest = self.committed_at.after(COMMIT_INTERVAL);
+            due = due.min(readmission.max(earliest));
+        }
         due.max(self.refusals.retry_due())
     }
 
--- a/crates/turmeric-jobs/src/scheduler/relieve.rs
+++ b/crates/turmeric-jobs/src/scheduler/relieve.rs
@@ -146,7 +146,7 @@
     /// Returns whether tasks of a job may be placed: none of its attempts is ordered while the store
     /// refuses its row.
     pub(super) fn is_placeable(&self, job: JobCode) -> bool {
-        !self.refusals.is_excluded(RowOwner::Job(job))
+        !self.refusals.is_refused(RowOwner::Job(job))
     }
 
     /// Evicts an attempt, and reserves space on another VM for its task if that may be reserved.
--- a/crates/turmeric-jobs/tests/bounded_store/mod.rs
+++ b/crates/turmeric-jobs/tests/bounded_store/mod.rs
@@ -52,6 +52,14 @@
     }
 }
 
+/// Returns a job of one long-running task.
+#[allow(dead_code, reason = "other tests have finite tasks only")]
+pub fn long_running_spec() -> JobSpec {
+    let mut spec = spec(1);
+    spec.steps[0].is_long_running = true;
+    spec
+}
+
 /// Rows of the store.
 #[derive(Default)]
 pub struct BoundedStore {
--- a/crates/turmeric-jobs/tests/store_limits.rs
+++ b/crates/turmeric-jobs/tests/store_limits.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use bounded_store::{LeaderBed, ROW_BYTES, resources, spec};
+use bounded_store::{LeaderBed, ROW_BYTES, long_running_spec, resources, spec};
 use rstest::rstest;
 use turmeric_jobs::{
     AttemptEnd, AttemptKey, AttemptStatus, EndKind, JobCode, JobPhase, JobScheduler, QueuePolicy,
@@ -349,3 +349,148 @@
         assert_eq!(recorded(&mut bed.leader, bed.now), expected);
     }
 }
+
+/// Longest time that a row of a job with an absent long-running task waits for its next write once the
+/// store accepts it: the longest delay, and the writes of a record.
+const ROW_WAIT_MILLIS: u64 = 3_000;
+
+/// Writes, reports and reviews until this time; returns how often each owner was found at fault.
+fn run_until(bed: &mut LeaderBed, millis: u64, keys: &[AttemptKey]) -> BTreeMap<RowOwner, usize> {
+    let mut faults: BTreeMap<RowOwner, usize> = BTreeMap::new();
+    while bed.now.as_millis() < millis {
+        let end = bed.now.as_millis() + 60;
+        for (owner, count) in write_until(bed, end) {
+            *faults.entry(owner).or_default() += count;
+        }
+        let running = keys.iter().map(|key| status(*key, String::new()));
+        bed.handle(bed.report(1, running.collect()));
+        bed.leader.tick(bed.now);
+    }
+    faults
+}
+
+/// Starts jobs of a long-running task each, and ends those of the first `ended` ones.
+fn run_interrupted_jobs(bed: &mut LeaderBed, jobs: u64, ended: usize) -> Vec<AttemptKey> {
+    for number in 1..=jobs {
+        bed.submit(number, long_running_spec());
+    }
+    // Long-running jobs that arrive together are placed together.
+    bed.now = MonoTime::from_millis(bed.now.as_millis() + 1_000);
+    bed.handle(bed.report(1, Vec::new()));
+    let keys = bed.place();
+    assert_eq!(keys.len(), jobs as usize);
+    bed.write_all();
+    bed.order_all();
+    let end = bed.now.as_millis() + 1_000;
+    run_until(bed, end, &keys);
+    bed.store.refused = (1..=jobs)
+        .map(|number| RowOwner::Job(JobCode::new(number)))
+        .collect();
+    end_first(bed, &keys, ended);
+    keys
+}
+
+/// Ends the first of the attempts by failures.
+fn end_first(bed: &mut LeaderBed, keys: &[AttemptKey], ended: usize) {
+    let running = keys[ended..].iter().map(|key| status(*key, String::new()));
+    let mut report = bed.report(1, running.collect());
+    report.ends = ends(&keys[..ended], 0);
+    for end in &mut report.ends {
+        end.kind = EndKind::Failed;
+    }
+    bed.handle(report);
+}
+
+/// Returns how long it takes until the store holds rows of all these jobs with another attempt.
+fn wait_for_rows(bed: &mut LeaderBed, keys: &[AttemptKey], running: &[AttemptKey]) -> u64 {
+    let start = bed.now.as_millis();
+    bed.store.refused.clear();
+    bed.store.progress.clear();
+    while bed.store.progress.len() < keys.len() {
+        let end = bed.now.as_millis() + 60;
+        run_until(bed, end, running);
+        assert!(end < start + 30_000, "{} rows", bed.store.progress.len());
+    }
+    bed.now.as_millis() - start
+}
+
+/// Guards against a long-running task that stays away for ten seconds beside room, because the row of
+/// its job was refused once: whenever the cause passes, the row is written soon. As long as it does
+/// not pass, the same row is not written again all the time.
+#[rstest]
+#[case(200)]
+#[case(1_000)]
+#[case(4_000)]
+#[case(9_000)]
+#[case(21_000)]
+fn refused_row_of_an_interrupted_task_is_written_soon_again(#[case] refused_millis: u64) {
+    let mut bed = LeaderBed::new();
+    let keys = run_interrupted_jobs(&mut bed, 1, 1);
+    let end = bed.now.as_millis() + refused_millis;
+    let faults: usize = run_until(&mut bed, end, &[]).values().sum();
+    let most = 3 + refused_millis.div_ceil(2_000) as usize;
+    assert!((1..=most).contains(&faults), "{faults} refusals");
+    let waited = wait_for_rows(&mut bed, &keys, &[]);
+    assert!(waited <= ROW_WAIT_MILLIS, "after {waited} ms");
+}
+
+/// Guards against the same where the row was refused before the task ended, and waits for longer since
+/// nothing of the job was absent.
+#[test]
+fn row_that_was_refused_earlier_is_written_soon_once_a_task_is_interrupted() {
+    let mut bed = LeaderBed::new();
+    let keys = run_interrupted_jobs(&mut bed, 1, 0);
+    // Another incarnation takes the attempt over, which changes the row.
+    bed.handle(bed.report(2, vec![status(keys[0], String::new())]));
+    let mut faults = 0;
+    for _ in 0..20 {
+        let end = bed.now.as_millis() + 60;
+        faults += write_until(&mut bed, end).values().sum::<usize>();
+        bed.handle(bed.report(2, vec![status(keys[0], String::new())]));
+        bed.leader.tick(bed.now);
+    }
+    assert_eq!(faults, 1, "nothing is absent");
+    let mut report = bed.report(2, Vec::new());
+    report.ends = ends(&keys, 0);
+    report.ends[0].kind = EndKind::Failed;
+    bed.handle(report);
+    let start = bed.now.as_millis();
+    bed.store.refused.clear();
+    bed.store.progress.clear();
+    while bed.store.progress.is_empty() {
+        write_until(&mut bed, start + 1);
+        let end = bed.now.as_millis() + 60;
+        write_until(&mut bed, end);
+        bed.handle(bed.report(2, Vec::new()));
+        bed.leader.tick(bed.now);
+        assert!(bed.now.as_millis() < start + ROW_WAIT_MILLIS);
+    }
+}
+
+/// Guards against retries that hold up others: many refused rows wait beside one another, and other
+/// changes are recorded all the while. Once the cause passes, all rows are written soon.
+#[test]
+fn retries_of_many_refused_rows_hold_up_no_other_job() {
+    let mut bed = LeaderBed::new();
+    let keys = run_interrupted_jobs(&mut bed, 60, 60);
+    // The search for the rows at fault writes only suspects.
+    let mut faults = BTreeMap::new();
+    while faults.len() < keys.len() {
+        let end = bed.now.as_millis() + 60;
+        faults.extend(run_until(&mut bed, end, &[]));
+    }
+    for number in 101..=150 {
+        let code = bed.submit(number, spec(1));
+        let start = bed.now.as_millis();
+        let wall = bed.wall();
+        bed.leader.cancel_job(code, wall);
+        while !bed.store.progress.contains_key(&code.to_string()) {
+            let end = bed.now.as_millis() + 60;
+            run_until(&mut bed, end, &[]);
+            let waited = bed.now.as_millis() - start;
+            assert!(waited <= 1_000, "recorded after {waited} ms");
+        }
+    }
+    let waited = wait_for_rows(&mut bed, &keys, &[]);
+    assert!(waited <= ROW_WAIT_MILLIS, "after {waited} ms");
+}
