Give suspected VMs to interrupted long-running tasks first

Callers saw a long-running task wait beside the room of a VM on which tasks of several jobs had failed. Such a VM takes one task at a time, up to 2 s apart; jobs that rank higher, finite ones among them, took every turn, and interrupted tasks waited for each other.

Interrupted tasks now get a suspected VM before all others, the longest absent first, and those of jobs that have not failed there share one turn. Jobs that have failed there still come last: they fail again and again where a VM is sound, and would take all turns from new work.

Both tests failed before: one task was not started within 30 s beside 20 finite jobs, and the last of four waited 4.3 s.

--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -20,6 +20,7 @@
 mod preempt;
 mod refusals;
 mod relieve;
+mod restarts;
 mod suspicion;
 mod vm;
 
--- a/crates/turmeric-jobs/src/scheduler/moves.rs
+++ b/crates/turmeric-jobs/src/scheduler/moves.rs
@@ -107,12 +107,11 @@
     /// be kept for tasks that still run on the next one that leaves, and then for finite jobs and
     /// for long-running ones that have never run.
     pub(super) fn reserve_restarts(&mut self, now: MonoTime) {
-        let mut interrupted = self.interrupted_tasks();
+        let interrupted = self.interrupted_by_absence(now);
         if self.policies.long_running_restart != LongRunningRestart::First || interrupted.is_empty()
         {
             return;
         }
-        interrupted.sort_by_key(|task| (self.absent_since(task).unwrap_or(now), *task));
         let mut vms = self.fleet_capacity(now).vms;
         vms.retain(|_, capacity| !capacity.is_suspect);
         // Steps whose tasks fit no VM. Hundreds of tasks may wait, and checking all VMs for each of
@@ -140,7 +139,14 @@
         }
     }
 
-    /// Returns the long-running tasks that have run, run nowhere and have no space reserved.
+    /// Returns the long-running tasks that have run, run nowhere and have no space reserved, the
+    /// longest absent first.
+    pub(super) fn interrupted_by_absence(&self, now: MonoTime) -> Vec<TaskName> {
+        let mut interrupted = self.interrupted_tasks();
+        interrupted.sort_by_key(|task| (self.absent_since(task).unwrap_or(now), *task));
+        interrupted
+    }
+
     fn interrupted_tasks(&self) -> Vec<TaskName> {
         let open = self.jobs.values().filter(|job| !job.phase.is_terminal());
         let long_running = open.filter(|job| job.spec.is_long_running());
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -24,16 +24,16 @@
 const GATHERING_TIME: Duration = Duration::from_millis(100);
 
 /// State of one round of placement: the capacity left and the tasks that did not fit.
-struct PlacementRound {
-    capacities: BTreeMap<String, VmCapacity>,
+pub(super) struct PlacementRound {
+    pub(super) capacities: BTreeMap<String, VmCapacity>,
     /// The VM on which space is reserved for each task that is being moved.
     reserved: BTreeMap<TaskName, String>,
     failures: PlacementFailures,
     /// Jobs that have failed on a suspected VM and are not placed on one for now.
     failing_jobs: BTreeSet<JobCode>,
     usage: ServiceUsage,
-    now: MonoTime,
-    wall: WallTime,
+    pub(super) now: MonoTime,
+    pub(super) wall: WallTime,
 }
 
 /// Reserved and all processors of the VMs of each service, in thousandths.
@@ -62,10 +62,10 @@
 }
 
 /// A task and the VM chosen for it.
-struct TaskPlacement {
-    task: TaskName,
-    attempt: AttemptNumber,
-    vm: String,
+pub(super) struct TaskPlacement {
+    pub(super) task: TaskName,
+    pub(super) attempt: AttemptNumber,
+    pub(super) vm: String,
 }
 
 impl JobScheduler {
@@ -102,6 +102,7 @@
             now,
             wall,
         };
+        placed += self.place_interrupted(&mut round);
         let ranked = self.jobs_by_rank(wall);
         for code in &ranked {
             placed += self.place_job(*code, &mut round);
@@ -120,9 +121,19 @@
     fn place_job(&mut self, code: JobCode, round: &mut PlacementRound) -> usize {
         let chosen = self.choose_vms(code, round);
         let placed = chosen.len();
+        self.commit_choice(code, chosen, round);
+        placed
+    }
+
+    /// Assigns the tasks of a job to the VMs that were chosen in a round.
+    pub(super) fn commit_choice(
+        &mut self,
+        code: JobCode,
+        chosen: Vec<TaskPlacement>,
+        round: &PlacementRound,
+    ) {
         self.record_placements(code, &chosen, round.wall);
         self.assign(code, chosen, round.now);
-        placed
     }
 
     /// Returns the open jobs that have failed on any suspected VM on which tasks may be placed.
--- a/crates/turmeric-jobs/src/scheduler/suspicion.rs
+++ b/crates/turmeric-jobs/src/scheduler/suspicion.rs
@@ -116,6 +116,11 @@
         self.failures.keys().copied()
     }
 
+    /// Returns whether a job has failed on the VM.
+    pub(crate) fn has_failed(&self, job: JobCode) -> bool {
+        self.failures.contains_key(&job)
+    }
+
     /// Returns whether a job may be placed on the VM, which is suspected, as far as its own
     /// failures there tell.
     pub(crate) fn may_retry(&self, job: JobCode, now: MonoTime) -> bool {
