Wait for a lost VM whose agent restarted only as long as leases were granted

An agent that restarts beside its worker knows nothing of the leases that its predecessor renewed, and stated the longest that the worker accepts: 10 s there, and with the allowance for clocks, which was added twice, 11.3 s. Its leader waited that long for a VM that was lost in the first 4 s after the restart, and promised as much for all VMs, although it had granted every lease of that worker itself and knew when they end: 6.5 s.

The agent now also states how long its own leases may last, without those of its predecessors. A leader that granted leases in the same incarnation of the worker takes the longer of that, its own grants and the promise of the leader before it, if that is less than what the agent states. A worker of another incarnation may take a deadline by its earlier clock for the longest lease, so that is still waited for.

The fault LongWait of the model lengthens both waits, as it stands for a leader that waits long.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -299,11 +299,12 @@
                 let held = core.table.attempt_count() as i64;
                 state.metrics.held_attempts.set(held);
                 let grant = core.table.grant();
-                let lease_wait =
-                    core.lease
-                        .wait(&state.lease_limits, grant, core.is_unresponsive, now);
+                let (limits, is_unresponsive) = (&state.lease_limits, core.is_unresponsive);
+                let lease_wait = core.lease.wait(limits, grant, is_unresponsive, now);
+                let own_wait = core.lease.own_wait(limits, grant, is_unresponsive, now);
                 VmReport {
                     lease_wait: Some(lease_wait),
+                    own_lease_wait: Some(own_wait),
                     headroom: sample.map(|sample| (core.measurement_number, sample)),
                     is_unresponsive: core.is_unresponsive,
                     ..core.table.report(&state.vm, &state.zone, now)
--- a/crates/turmeric-jobs/benches/leader.rs
+++ b/crates/turmeric-jobs/benches/leader.rs
@@ -57,6 +57,7 @@
         headroom: None,
         has_more_ends: false,
         lease_wait: None,
+        own_lease_wait: None,
         is_stopping: false,
         unplanned: Vec::new(),
     }
--- a/crates/turmeric-jobs/src/attempts.rs
+++ b/crates/turmeric-jobs/src/attempts.rs
@@ -569,6 +569,7 @@
             headroom: None,
             has_more_ends,
             lease_wait: None,
+            own_lease_wait: None,
             is_stopping: self.is_stopping,
             unplanned: self.unplanned().copied().collect(),
         }
--- a/crates/turmeric-jobs/src/lease.rs
+++ b/crates/turmeric-jobs/src/lease.rs
@@ -84,8 +84,11 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WorkerLease {
     reading: Option<ClockReading>,
-    /// Latest deadline that the worker may have been given, by its clock in milliseconds.
+    /// Latest deadline that this agent has sent, by the worker's clock in milliseconds.
     deadline_millis: u64,
+    /// Latest deadline that the worker may have been given by earlier agents, or by the clock of an
+    /// earlier incarnation.
+    earlier_deadline_millis: u64,
 }
 
 impl WorkerLease {
@@ -111,11 +114,11 @@
         let Some(reading) = self.reading else {
             return;
         };
-        let longest = now.since(reading.received_at) + limits.earlier_wait();
+        let longest = now.since(reading.received_at) + limits.accepted;
         let deadline_millis = reading
             .worker_millis
             .saturating_add(longest.as_millis() as u64);
-        self.record_deadline(deadline_millis);
+        self.earlier_deadline_millis = self.earlier_deadline_millis.max(deadline_millis);
     }
 
     /// Records a deadline that is sent to the worker.
@@ -126,8 +129,17 @@
     /// Returns the time until all leases have expired, if none is renewed; [`None`] before the worker
     /// has answered.
     pub fn remaining(&self, now: MonoTime) -> Option<Duration> {
+        self.time_until(self.latest_deadline(), now)
+    }
+
+    fn latest_deadline(&self) -> u64 {
+        self.deadline_millis.max(self.earlier_deadline_millis)
+    }
+
+    /// Returns the time until a deadline has certainly passed by the worker's clock.
+    fn time_until(&self, deadline_millis: u64, now: MonoTime) -> Option<Duration> {
         let reading = self.reading?;
-        let granted = self.deadline_millis.saturating_sub(reading.worker_millis);
+        let granted = deadline_millis.saturating_sub(reading.worker_millis);
         let granted = Duration::from_millis(granted);
         let end = reading.received_at.after(with_slow_clock(granted));
         Some(end.since(now))
@@ -144,11 +156,35 @@
         now: MonoTime,
     ) -> Duration {
         let given = self.remaining(now).unwrap_or(limits.earlier_wait());
+        given.max(self.renewable_wait(limits, grant, is_unresponsive, now))
+    }
+
+    /// Returns the same without the leases that only earlier agents can have renewed.
+    pub fn own_wait(
+        &self,
+        limits: &LeaseLimits,
+        grant: Option<LeaseGrant>,
+        is_unresponsive: bool,
+        now: MonoTime,
+    ) -> Duration {
+        let given = self.time_until(self.deadline_millis, now);
+        let renewable = self.renewable_wait(limits, grant, is_unresponsive, now);
+        given.unwrap_or_default().max(renewable)
+    }
+
+    /// Returns the time until the leases have expired that this agent may yet renew.
+    fn renewable_wait(
+        &self,
+        limits: &LeaseLimits,
+        grant: Option<LeaseGrant>,
+        is_unresponsive: bool,
+        now: MonoTime,
+    ) -> Duration {
         if !is_unresponsive {
-            return given.max(limits.wait());
+            return limits.wait();
         }
         let granted = grant.map(|grant| grant.reported_at.after(limits.wait()).since(now));
-        given.max(granted.unwrap_or_default())
+        granted.unwrap_or_default()
     }
 
     /// Returns whether all leases have expired although the worker does not answer, even if its
@@ -162,6 +198,6 @@
         let clock_millis = reading
             .worker_millis
             .saturating_add(least.as_millis() as u64);
-        clock_millis.saturating_sub(self.deadline_millis) > END_SLACK.as_millis() as u64
+        clock_millis.saturating_sub(self.latest_deadline()) > END_SLACK.as_millis() as u64
     }
 }
--- a/crates/turmeric-jobs/src/report.rs
+++ b/crates/turmeric-jobs/src/report.rs
@@ -191,6 +191,9 @@
     /// Time after the report at which all leases at the worker have expired, the one included that
     /// counts from the report; [`None`] from an earlier version of the agent.
     pub lease_wait: Option<Duration>,
+    /// The same without the leases that only earlier agents can have renewed; [`None`] from an
+    /// earlier version of the agent.
+    pub own_lease_wait: Option<Duration>,
     /// The agent is shutting down and starts nothing more.
     pub is_stopping: bool,
     /// Those of the attempts whose loads the agent does not know, because an earlier agent started
@@ -244,10 +247,8 @@
             unresponsive: self.is_unresponsive,
             crash: self.crash.as_ref().map(write_crash),
             has_more_ends: self.has_more_ends,
-            // Zero stands for an earlier version, which does not tell.
-            lease_wait_millis: self
-                .lease_wait
-                .map_or(0, |wait| (wait.as_millis() as u64).max(1)),
+            lease_wait_millis: write_wait(self.lease_wait),
+            own_lease_wait_millis: write_wait(self.own_lease_wait),
             stopping: self.is_stopping,
         }
     }
@@ -297,8 +298,8 @@
             crash: message.crash.map(read_crash).transpose()?,
             headroom: message.headroom.map(read_headroom).transpose()?,
             has_more_ends: message.has_more_ends,
-            lease_wait: (message.lease_wait_millis > 0)
-                .then(|| Duration::from_millis(message.lease_wait_millis)),
+            lease_wait: read_wait(message.lease_wait_millis),
+            own_lease_wait: read_wait(message.own_lease_wait_millis),
             is_stopping: message.stopping,
             unplanned: unplanned.collect::<Result<_, NameError>>()?,
         })
@@ -380,3 +381,12 @@
         checkpoint: end.checkpoint.clone(),
     }
 }
+
+/// Encodes a wait. Zero stands for an earlier version, which does not tell.
+fn write_wait(wait: Option<Duration>) -> u64 {
+    wait.map_or(0, |wait| (wait.as_millis() as u64).max(1))
+}
+
+fn read_wait(millis: u64) -> Option<Duration> {
+    (millis > 0).then(|| Duration::from_millis(millis))
+}
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -57,8 +57,7 @@
     pub fn handle_report(&mut self, report: VmReport, now: MonoTime, wall: WallTime) {
         let name = report.vm.clone();
         let earlier_end = self.leases.earlier_end_on(&name);
-        let earlier_wait = self.timeouts.lease.earlier_wait();
-        let lease_wait = report.lease_wait.unwrap_or(earlier_wait);
+        let lease_wait = self.report_wait(&report, now);
         let knows_leader = report.epoch == self.epoch;
         let vm = self
             .vms
--- a/crates/turmeric-jobs/src/scheduler/leases.rs
+++ b/crates/turmeric-jobs/src/scheduler/leases.rs
@@ -7,7 +7,7 @@
 
 use super::vm::VmState;
 use super::{JobScheduler, LeaderTimeouts};
-use crate::LeasePromise;
+use crate::{LeasePromise, VmReport};
 
 /// A VM to which no lease was granted for this long is promised as expiring; agents report every
 /// 400 ms.
@@ -102,6 +102,29 @@
         vm.lease_stamp_millis = Some(grant.stamp_millis);
         vm.leases_end_at = vm.leases_end_at.max(grant.lease_end);
         vm.granted_at = Some(now);
+        vm.granted_end = vm.granted_end.max(Some(grant.lease_end));
+    }
+
+    /// Returns how long a lease that counts from a report may last.
+    ///
+    /// A restarted agent knows nothing of the leases that earlier agents renewed, and states the
+    /// longest that its worker accepts. Of an incarnation to which this leader has granted leases it
+    /// knows when those end.
+    pub(super) fn report_wait(&self, report: &VmReport, now: MonoTime) -> Duration {
+        let earlier_wait = self.timeouts.lease.earlier_wait();
+        let stated = report.lease_wait.unwrap_or(earlier_wait);
+        let known_end = || {
+            let vm = self.vms.get(&report.vm)?;
+            let info = report.endpoint_info.as_ref()?;
+            let is_known =
+                info.incarnation.started_at_millis > 0 && vm.is_incarnation(&info.incarnation);
+            let granted_end = vm.granted_end.filter(|_| is_known)?;
+            Some(granted_end.max(self.leases.earlier_end_on(&report.vm)))
+        };
+        match (report.own_lease_wait, known_end()) {
+            (Some(own), Some(end)) => stated.min(own.max(end.since(now))),
+            _ => stated,
+        }
     }
 
     /// Grants the leases that the confirmed row covers.
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -202,6 +202,9 @@
     pub(crate) earlier_leases_end_at: MonoTime,
     /// When this leader last granted a lease, if it has granted any.
     pub(crate) granted_at: Option<MonoTime>,
+    /// When the leases have expired that this leader granted in the endpoint's current incarnation,
+    /// with those that the agents stated then; [`None`] if it has granted none.
+    pub(crate) granted_end: Option<MonoTime>,
     /// How long a lease granted to the agent may last; [`None`] before its first report.
     pub(crate) lease_wait: Option<Duration>,
     /// The agent knows this leader, so no other leader renews its leases.
@@ -246,6 +249,7 @@
             leases_end_at: now,
             earlier_leases_end_at,
             granted_at: None,
+            granted_end: None,
             lease_wait: None,
             knows_leader: false,
             attempts: BTreeMap::new(),
@@ -266,6 +270,7 @@
         self.was_draining = earlier.is_some_and(|earlier| earlier.is_draining);
         self.unrecorded_ends.clear();
         self.last_end = 0;
+        self.granted_end = None;
         self.suspicion = VmSuspicion::default();
     }
 
@@ -280,9 +285,13 @@
 
     /// Returns whether a location is in the endpoint's current incarnation.
     pub(crate) fn is_current_incarnation(&self, location: &AttemptLocation) -> bool {
-        self.info
-            .as_ref()
-            .is_some_and(|info| info.incarnation == location.incarnation)
+        self.is_incarnation(&location.incarnation)
+    }
+
+    /// Returns whether this is the endpoint's current incarnation.
+    pub(crate) fn is_incarnation(&self, incarnation: &EndpointIncarnation) -> bool {
+        let info = self.info.as_ref();
+        info.is_some_and(|info| info.incarnation == *incarnation)
     }
 
     /// Returns whether the agent reports and its worker answers.
--- a/crates/turmeric-jobs/tests/consolidation.rs
+++ b/crates/turmeric-jobs/tests/consolidation.rs
@@ -308,6 +308,7 @@
             headroom: None,
             has_more_ends: false,
             lease_wait: None,
+            own_lease_wait: None,
             is_stopping: false,
             unplanned: Vec::new(),
         }
--- a/crates/turmeric-jobs/tests/exclusions.rs
+++ b/crates/turmeric-jobs/tests/exclusions.rs
@@ -334,6 +334,7 @@
         headroom: None,
         has_more_ends: false,
         lease_wait: None,
+        own_lease_wait: None,
         is_stopping: false,
         unplanned: Vec::new(),
     }
--- a/crates/turmeric-jobs/tests/fleet/mod.rs
+++ b/crates/turmeric-jobs/tests/fleet/mod.rs
@@ -254,6 +254,7 @@
             headroom: None,
             has_more_ends: false,
             lease_wait: None,
+            own_lease_wait: None,
             is_stopping: false,
             unplanned: Vec::new(),
         }
--- a/crates/turmeric-jobs/tests/lease_waits.rs
+++ b/crates/turmeric-jobs/tests/lease_waits.rs
@@ -6,8 +6,8 @@
 
 use rstest::rstest;
 use turmeric_jobs::{
-    CommitPlan, EndpointIncarnation, EndpointInfo, JobCode, JobScheduler, JobSpec, LeaderTimeouts,
-    LeaseLimits, LeasePromise, QueuePolicy, StepSpec, VmReport,
+    ClockReading, CommitPlan, EndpointIncarnation, EndpointInfo, JobCode, JobScheduler, JobSpec,
+    LeaderTimeouts, LeaseLimits, LeasePromise, QueuePolicy, StepSpec, VmReport, WorkerLease,
 };
 use turmeric_schema::{Message, v1};
 use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
@@ -65,6 +65,8 @@
     row_written_at: MonoTime,
     /// The recorded progress of the job.
     progress: v1::JobProgress,
+    /// What the agent of VM `a` knows of its leases, once it has restarted.
+    restarted: Option<(WorkerLease, EndpointIncarnation)>,
     now: MonoTime,
 }
 
@@ -77,6 +79,7 @@
             row: v1::LeaderRow::default(),
             row_written_at: MonoTime::default(),
             progress: v1::JobProgress::default(),
+            restarted: None,
             now: MonoTime::from_millis(1_000),
         };
         scene.leader.add_job(scene.job, spec(), WallTime::default());
@@ -90,28 +93,49 @@
         scene
     }
 
+    /// Creates the scene with a leader that has read what the one before it promised.
+    fn with_known_promise(accepted_seconds: u64) -> Self {
+        let mut scene = Self::new(LeaseLimits::new(Duration::from_secs(accepted_seconds)));
+        scene.pass(Duration::from_secs(2), &BOTH);
+        scene.take_over();
+        scene.pass(Duration::from_secs(2), &BOTH);
+        scene
+    }
+
     fn wall(&self) -> WallTime {
         WallTime::from_millis(self.now.as_millis())
     }
 
     fn agent_report(&self, vm: &str, is_unresponsive: bool) -> VmReport {
+        let (limits, now) = (&self.limits, self.now);
+        let restarted = self.restarted.as_ref().filter(|_| vm == "a");
+        let known = restarted.map(|(lease, incarnation)| {
+            let wait = lease.wait(limits, None, is_unresponsive, now);
+            let own_wait = lease.own_wait(limits, None, is_unresponsive, now);
+            (wait, own_wait, incarnation.clone())
+        });
+        let (lease_wait, own_lease_wait, incarnation) = known.unwrap_or_else(|| {
+            let incarnation = EndpointIncarnation {
+                endpoint: vm.to_owned(),
+                started_at_millis: 1,
+            };
+            (limits.wait(), limits.wait(), incarnation)
+        });
         VmReport {
             vm: vm.to_owned(),
             zone: "morava-a".to_owned(),
             epoch: self.leader.epoch(),
             stamp_millis: self.now.as_millis(),
             endpoint_info: Some(EndpointInfo {
-                incarnation: EndpointIncarnation {
-                    endpoint: vm.to_owned(),
-                    started_at_millis: 1,
-                },
+                incarnation,
                 service: "s".to_owned(),
                 capacity: resources(8),
                 ..EndpointInfo::default()
             }),
             is_synced: true,
             is_unresponsive,
-            lease_wait: Some(self.limits.wait()),
+            lease_wait: Some(lease_wait),
+            own_lease_wait: Some(own_lease_wait),
             ..VmReport::default()
         }
     }
@@ -122,6 +146,29 @@
         self.leader.handle_report(report, self.now, wall);
     }
 
+    /// Restarts the agent of VM `a` beside its worker, of the incarnation with this start.
+    fn restart_agent(&mut self, started_at_millis: u64) {
+        let mut lease = WorkerLease::new();
+        lease.record_reading(ClockReading {
+            received_at: self.now,
+            worker_millis: 500_000,
+        });
+        lease.record_fencing(&self.limits, self.now);
+        let incarnation = EndpointIncarnation {
+            endpoint: "a".to_owned(),
+            started_at_millis,
+        };
+        self.restarted = Some((lease, incarnation));
+        let first = VmReport {
+            epoch: 0,
+            ..self.agent_report("a", false)
+        };
+        let wall = self.wall();
+        self.leader.handle_report(first, self.now, wall);
+        self.step();
+        self.report("a", false);
+    }
+
     /// Has the leader decide and write.
     fn step(&mut self) {
         let wall = self.wall();
@@ -385,3 +432,42 @@
     scene.report("a", true);
     assert!(scene.moved_at() < lost_at.after(LOSS_BOUND));
 }
+
+/// Guards against a task that waits for the longest lease that a worker accepts: the agent of its VM
+/// has restarted shortly before the VM is lost, and does not know what its predecessor renewed.
+#[rstest]
+fn task_of_a_vm_that_is_lost_after_its_agent_restarted_runs_elsewhere_in_time(
+    #[values(6, 10)] accepted: u64,
+    #[values(0, 400, 2_000, 4_000)] restart_age: u64,
+) {
+    let mut scene = LossScene::with_known_promise(accepted);
+    scene.restart_agent(1);
+    scene.pass(Duration::from_millis(restart_age), &BOTH);
+    let lost_at = scene.now;
+    assert!(scene.moved_at() < lost_at.after(LOSS_BOUND));
+}
+
+/// Guards against the same after a crash of the leader: the promise of its row must not cover more
+/// than what agents can renew, on any VM, because one agent has restarted.
+#[test]
+fn restarted_agent_lengthens_no_promise() {
+    let mut scene = LossScene::with_known_promise(10);
+    let limits = scene.limits;
+    scene.restart_agent(1);
+    scene.pass(Duration::from_millis(400), &[("b", false)]);
+    let promise = LeasePromise::read(&scene.row, &limits, scene.row_written_at);
+    let longest = scene.row_written_at.after(RENEWAL_WINDOW + limits.wait());
+    assert!(promise.end_on("b") <= longest.after(Duration::from_millis(1)));
+}
+
+/// Guards against two runs of one task: a worker that has restarted under its identifier takes a
+/// deadline by its earlier clock for the longest lease that it accepts.
+#[test]
+fn longest_lease_of_a_restarted_worker_is_waited_for() {
+    let mut scene = LossScene::with_known_promise(10);
+    let restarted_at = scene.now;
+    scene.restart_agent(2);
+    scene.pass(Duration::from_millis(1_200), &[("b", false)]);
+    let promise = LeasePromise::read(&scene.row, &scene.limits, scene.row_written_at);
+    assert!(promise.end_on("a") >= restarted_at.after(Duration::from_secs(10)));
+}
--- a/crates/turmeric-jobs/tests/leaving.rs
+++ b/crates/turmeric-jobs/tests/leaving.rs
@@ -48,6 +48,7 @@
         headroom: None,
         has_more_ends: false,
         lease_wait: None,
+        own_lease_wait: None,
         is_stopping: false,
         unplanned: Vec::new(),
     }
--- a/crates/turmeric-jobs/tests/policies.rs
+++ b/crates/turmeric-jobs/tests/policies.rs
@@ -137,6 +137,7 @@
         )),
         has_more_ends: false,
         lease_wait: None,
+        own_lease_wait: None,
         is_stopping: false,
         unplanned: Vec::new(),
     }
--- a/crates/turmeric-jobs/tests/scene/mod.rs
+++ b/crates/turmeric-jobs/tests/scene/mod.rs
@@ -194,6 +194,7 @@
             headroom: None,
             has_more_ends: vm.has_more_ends,
             lease_wait: None,
+            own_lease_wait: None,
             is_stopping: false,
             unplanned: Vec::new(),
         };
--- a/crates/turmeric-jobs/tests/shedding.rs
+++ b/crates/turmeric-jobs/tests/shedding.rs
@@ -191,6 +191,7 @@
             headroom: None,
             has_more_ends: false,
             lease_wait: None,
+            own_lease_wait: None,
             is_stopping: false,
             unplanned: Vec::new(),
         }
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -1048,10 +1048,21 @@
             }
         };
         message.lease_wait_millis = lease_wait.as_millis() as u64;
+        let own_wait = match self.fault {
+            Some(WorldFault::LongWait) => lease_wait,
+            _ => {
+                let limits = &agent.limits;
+                agent
+                    .lease
+                    .own_wait(limits, grant, agent.is_unresponsive, now)
+            }
+        };
+        message.own_lease_wait_millis = (own_wait.as_millis() as u64).max(1);
         if agent.is_earlier {
             message.unresponsive = false;
             message.crash = None;
             message.lease_wait_millis = 0;
+            message.own_lease_wait_millis = 0;
             for run in &mut message.runs {
                 run.confirmed = false;
             }
