Renew leases apart from long polls, and know which deadlines may arrive late

A worker that restarts under its identifier starts its clock anew and takes a deadline by the earlier clock for the longest lease that it accepts, 10 s on some sites. Its agent stated that longest lease after each restart: tasks of a VM that was lost in the next 2 s were absent for over 9 s, and the promise of the leader's row grew as much for all VMs.

Such a deadline can only arrive by a call that got no answer, or from another agent. Nearly each crash left one: the long poll that was under way carried a deadline. A poll that waits carries none now; a renewal is a poll of its own that is answered at once. The agent counts the longest lease only for 15 s after it began to fence the worker or a call with a deadline went unanswered (the platform carries calls out up to 12 s late), and whenever a worker has refused its token for a higher one: another agent may have brought any deadline then. A poll before the worker has accepted the token carries none either, nor does one after the lease has ended.

--- a/crates/turmeric-daemon/src/hosted/agent.rs
+++ b/crates/turmeric-daemon/src/hosted/agent.rs
@@ -147,7 +147,7 @@
         info!("endpoint started a new incarnation", kv: { life = incarnation.unwrap_or_default() });
         self.headroom = None;
         self.neighbours = NeighbourMeasurements::default();
-        self.lease = WorkerLease::new();
+        self.lease = self.lease.next_incarnation();
         self.is_unresponsive = false;
         self.table.clear_synced();
     }
--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -15,8 +15,8 @@
 use super::metrics::count;
 use super::pacing::pace;
 
-/// Long-poll timeout: how long the worker waits for an attempt to end. Leases are renewed at
-/// least this often.
+/// Long-poll timeout: how long the worker waits for an attempt to end. Leases are renewed between two
+/// polls.
 const POLL_WAIT: Duration = Duration::from_millis(240);
 
 /// Wait after a failed long poll.
@@ -71,15 +71,24 @@
         core.fence = state.clock.wall().as_millis().max(core.fence + 1);
     }
     // The leases of an unresponsive worker are not renewed, so that they expire.
-    let deadline_millis = core.lease_deadline(lease).filter(|_| !core.is_unresponsive);
+    let is_renewing = is_synced && !core.is_unresponsive;
+    let grant = core.table.grant().filter(|_| is_renewing);
+    let deadline_millis =
+        grant.and_then(|grant| core.lease.renewal(lease, grant, state.clock.now()));
     if let Some(deadline) = deadline_millis {
         core.lease.record_deadline(deadline);
     }
+    // A poll that waits renews nothing, since a crash of the worker would leave it unanswered.
+    let is_waiting = is_synced && deadline_millis.is_none();
     let request = HoldRequest {
         fence: core.fence,
         recorded_end: core.table.recorded_end(),
         deadline_millis,
-        wait: if is_synced { POLL_WAIT } else { Duration::ZERO },
+        wait: if is_waiting {
+            POLL_WAIT
+        } else {
+            Duration::ZERO
+        },
     };
     Some((incarnation, request, core.table.list_mark()))
 }
@@ -103,6 +112,9 @@
 ) -> Duration {
     let now = state.clock.now();
     let mut core = state.core();
+    if let (HoldAnswer::Unknown { .. }, Some(_)) = (&answer, request.deadline_millis) {
+        core.lease.record_unanswered(now);
+    }
     if core.table.incarnation() != Some(incarnation) {
         return Duration::ZERO;
     }
@@ -133,6 +145,9 @@
             if !was_synced {
                 core.lease.record_fencing(lease, now);
             }
+            if let Some(deadline) = request.deadline_millis {
+                core.lease.record_renewal(deadline);
+            }
             core.table.set_synced();
             let paced = core.update_paces(&running, now);
             let lists = WorkerLists {
@@ -318,6 +333,9 @@
     count(&state.metrics.worker_calls, name, answer_label(answer));
     let now = state.clock.now();
     let mut core = state.core();
+    if answer == WorkerAnswer::Unknown && name == "start" {
+        core.lease.record_unanswered(now);
+    }
     if core.table.incarnation() != Some(&incarnation) {
         return;
     }
--- a/crates/turmeric-jobs/src/lease.rs
+++ b/crates/turmeric-jobs/src/lease.rs
@@ -12,6 +12,12 @@
 /// flight and the time that a stop takes.
 const END_SLACK: Duration = Duration::from_millis(300);
 
+/// How long after it was sent a call that got no answer may be carried out.
+pub(crate) const DELAYED_CALL_LIMIT: Duration = Duration::from_secs(15);
+
+/// Leases are renewed once they end this much later, so that most calls carry no deadline.
+const RENEWAL_STEP: Duration = Duration::from_millis(300);
+
 /// Longest term of a lease: long enough to outlast the restart of a killed agent (3.5 s and a
 /// heartbeat), short enough for the tasks of an unreachable worker to be placed elsewhere soon.
 const MAX_TERM: Duration = Duration::from_secs(6);
@@ -68,6 +74,11 @@
 }
 
 impl LeaseGrant {
+    /// Returns whether the lease has ended.
+    pub fn has_expired(&self, limits: &LeaseLimits, now: MonoTime) -> bool {
+        now > self.reported_at.after(limits.term)
+    }
+
     /// Returns the end of the lease by the worker's clock, in milliseconds.
     ///
     /// It is at most `limits.term` after the report, even if a process was paused in
@@ -81,14 +92,26 @@
 }
 
 /// The leases under which a worker may be running attempts, as its agent knows them.
+///
+/// A worker that restarts under its identifier starts its clock anew and takes a deadline by the
+/// earlier clock for the longest lease that it accepts. Such a deadline can reach it only by a call that
+/// was not answered.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WorkerLease {
     reading: Option<ClockReading>,
-    /// Latest deadline that this agent has sent, by the worker's clock in milliseconds.
+    /// Latest deadline that the worker may have been given by this agent, by the worker's clock in
+    /// milliseconds.
     deadline_millis: u64,
-    /// Latest deadline that the worker may have been given by earlier agents, or by the clock of an
-    /// earlier incarnation.
+    /// Latest deadline that the worker may have been given by earlier agents.
     earlier_deadline_millis: u64,
+    /// Latest deadline of a renewal that the worker has answered.
+    renewed_millis: u64,
+    /// Calls of earlier agents can be carried out until then; [`None`] before the first fencing.
+    earlier_calls_until: Option<MonoTime>,
+    /// Until when calls with a deadline can be carried out that got no answer.
+    unanswered_until: MonoTime,
+    /// The worker has accepted a token of this agent in this incarnation.
+    is_fenced: bool,
 }
 
 impl WorkerLease {
@@ -97,6 +120,15 @@
         Self::default()
     }
 
+    /// Returns the record of the worker's next incarnation.
+    pub fn next_incarnation(&self) -> Self {
+        Self {
+            earlier_calls_until: self.earlier_calls_until,
+            unanswered_until: self.unanswered_until,
+            ..Self::default()
+        }
+    }
+
     /// Returns the worker's clock as last read.
     pub fn reading(&self) -> Option<ClockReading> {
         self.reading
@@ -108,17 +140,45 @@
     }
 
     /// Records that the worker has accepted a new fencing token: until then, an earlier agent
-    /// may have renewed leases, of which this agent knows nothing. A deadline by the clock of an
-    /// earlier incarnation counts as the longest lease that the worker accepts.
+    /// may have renewed leases, of which this agent knows nothing, and a deadline by the clock of an
+    /// earlier incarnation may have arrived.
     pub fn record_fencing(&mut self, limits: &LeaseLimits, now: MonoTime) {
         let Some(reading) = self.reading else {
             return;
         };
         let longest = now.since(reading.received_at) + limits.accepted;
-        let deadline_millis = reading
+        let longest_millis = reading
             .worker_millis
             .saturating_add(longest.as_millis() as u64);
-        self.earlier_deadline_millis = self.earlier_deadline_millis.max(deadline_millis);
+        // A token that another agent has replaced: it may have brought any deadline.
+        let is_repeated = std::mem::replace(&mut self.is_fenced, true);
+        if is_repeated || now <= self.unanswered_until {
+            self.record_deadline(longest_millis);
+        }
+        let calls_until = *self
+            .earlier_calls_until
+            .get_or_insert(now.after(DELAYED_CALL_LIMIT));
+        if now <= calls_until {
+            self.earlier_deadline_millis = self.earlier_deadline_millis.max(longest_millis);
+        }
+    }
+
+    /// Returns the deadline of a lease if the worker has to be told.
+    pub fn renewal(&self, limits: &LeaseLimits, grant: LeaseGrant, now: MonoTime) -> Option<u64> {
+        let deadline_millis = grant.worker_deadline(limits, &self.reading?);
+        let next_millis = self.renewed_millis + RENEWAL_STEP.as_millis() as u64;
+        let is_due = !grant.has_expired(limits, now) && deadline_millis >= next_millis;
+        is_due.then_some(deadline_millis)
+    }
+
+    /// Records that the worker has answered a call that renewed its leases.
+    pub fn record_renewal(&mut self, deadline_millis: u64) {
+        self.renewed_millis = self.renewed_millis.max(deadline_millis);
+    }
+
+    /// Records that a call with a deadline got no answer: it may be carried out later.
+    pub fn record_unanswered(&mut self, now: MonoTime) {
+        self.unanswered_until = now.after(DELAYED_CALL_LIMIT);
     }
 
     /// Records a deadline that is sent to the worker.
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -311,7 +311,7 @@
     }
 
     fn begin_incarnation(&mut self) {
-        self.lease = WorkerLease::new();
+        self.lease = self.lease.next_incarnation();
         self.is_unresponsive = false;
         self.poll_fails_at = None;
         self.table.clear_synced();
@@ -1092,7 +1092,10 @@
         }
         // The leases of an unresponsive worker are not renewed, so that they expire.
         let deadline = match self.fault {
-            _ if !agent.is_unresponsive => agent.lease_deadline(),
+            _ if !agent.is_unresponsive => {
+                let grant = agent.table.grant().filter(|_| agent.table.is_synced());
+                grant.and_then(|grant| agent.lease.renewal(&agent.limits, grant, now))
+            }
             Some(WorldFault::SilentRenewal) => agent.ungranted_deadline(now),
             _ => None,
         };
@@ -1123,12 +1126,18 @@
                 if !agent.table.is_synced() {
                     agent.lease.record_fencing(&agent.limits, now);
                 }
+                agent.lease.record_renewal(deadline.unwrap_or_default());
                 agent.table.set_synced();
                 agent.table.apply_lists(mark, lists);
             }
             PollAnswer::Fenced => agent.table.clear_synced(),
             PollAnswer::Closed => agent.fail_poll(PollFailure::Refused, now),
-            PollAnswer::Unknown => agent.poll_fails_at = Some(self.now + POLL_TIMEOUT),
+            PollAnswer::Unknown => {
+                if deadline.is_some() {
+                    agent.lease.record_unanswered(now);
+                }
+                agent.poll_fails_at = Some(self.now + POLL_TIMEOUT);
+            }
         }
     }
 
@@ -1161,6 +1170,9 @@
                         (StartAnswer::NotSent, None)
                     };
                     started.extend(key);
+                    if answer == StartAnswer::Unknown {
+                        agent.lease.record_unanswered(now);
+                    }
                     agent.table.handle_start_answer(plan.key, answer, now);
                 }
                 WorkerCommand::Stop(key) => {
