Count leases on VMs that joined, and in a first leader's time, as they were granted

- A leader that found no row at all assumed a leader of an earlier version: 22.6 s for all VMs.
Rows are written before leases are granted, so without a row there were none.
- A VM that had just joined, or whose agent restarted around a change of the leader, was waited for as long as its new agent stated, 10.6 s.
A leader knows that nobody granted leases on a VM that no leader before it can have known, and that the leader which placed an attempt knew the leases of that incarnation.
- A VM whose worker had not answered yet lengthened the promise for all VMs by the longest lease, and what earlier agents may have renewed counted as if it could be renewed again.

--- a/crates/turmeric-daemon/src/hosted/leadership.rs
+++ b/crates/turmeric-daemon/src/hosted/leadership.rs
@@ -318,7 +318,12 @@
     };
     let taken_over_at = context.clock.now();
     let limits = &context.terms.lease;
-    let earlier_promise = LeasePromise::read(&earlier, limits, written_at);
+    let is_first = version == 0 && announced == 0;
+    let earlier_promise = if is_first {
+        LeasePromise::none()
+    } else {
+        LeasePromise::read(&earlier, limits, written_at)
+    };
     let promise = earlier_promise.take_over(limits, context.terms.renewal_window, taken_over_at);
     promise.write(&mut row, taken_over_at);
     let leadership_row = v1::SeatRow {
--- a/crates/turmeric-jobs/src/lease_promise.rs
+++ b/crates/turmeric-jobs/src/lease_promise.rs
@@ -43,6 +43,16 @@
         Self::new(written_at.after(EARLIER_WINDOW + limits.earlier_wait()))
     }
 
+    /// Creates the promise of a store in which no leader has ever written its row.
+    pub fn none() -> Self {
+        Self::default()
+    }
+
+    /// Returns whether no leader has granted a lease.
+    pub(crate) fn is_none(&self) -> bool {
+        *self == Self::none()
+    }
+
     /// Adds the VMs on which no lease is granted for now, as far as they take at most `limit` bytes
     /// in the row. On the others, leases count as granted.
     pub(crate) fn with_expiring(
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -57,7 +57,8 @@
     pub fn handle_report(&mut self, report: VmReport, now: MonoTime, wall: WallTime) {
         let name = report.vm.clone();
         let earlier_end = self.leases.earlier_end_on(&name);
-        let lease_wait = self.report_wait(&report, now);
+        let known_end = self.known_lease_end(&report, now);
+        let lease_wait = self.report_wait(&report, known_end, now);
         let knows_leader = report.epoch == self.epoch;
         let vm = self
             .vms
@@ -69,7 +70,7 @@
             vm.leases_end_at = vm.leases_end_at.max(earlier_end);
         }
         let was_answering = vm.is_ready && vm.is_reachable(now);
-        vm.lease_wait = Some(lease_wait);
+        vm.renewable_wait = Some(report.own_lease_wait.unwrap_or(lease_wait));
         self.leases.withheld.remove(&name);
         vm.zone.clone_from(&report.zone);
         vm.reported_at = now;
@@ -94,6 +95,7 @@
                 return;
             }
             vm.begin_incarnation(info);
+            vm.granted_end = known_end.map(|_| now);
         } else {
             vm.info = Some(info);
         }
@@ -126,6 +128,12 @@
                 vm.answering_since = now;
             }
         }
+        // Counts even if the grant is withheld: these leases come from other agents.
+        if lease_wait > self.timeouts.lease.wait()
+            && let Some(vm) = self.vms.get_mut(&name)
+        {
+            vm.leases_end_at = vm.leases_end_at.max(now.after(lease_wait));
+        }
         // The leases of a worker that does not answer are not renewed, so that they expire.
         if !report.is_unresponsive {
             let grant = ReportGrant {
--- a/crates/turmeric-jobs/src/scheduler/leases.rs
+++ b/crates/turmeric-jobs/src/scheduler/leases.rs
@@ -7,6 +7,7 @@
 
 use super::vm::VmState;
 use super::{JobScheduler, LeaderTimeouts};
+use crate::lease::DELAYED_CALL_LIMIT;
 use crate::{LeasePromise, VmReport};
 
 /// A VM to which no lease was granted for this long is promised as expiring; agents report every
@@ -78,6 +79,11 @@
         self.earlier.end_on(vm)
     }
 
+    /// Returns whether no worker of a VM can still get a deadline that an earlier leader granted.
+    pub(super) fn is_ungranted(&self, vm: &str, now: MonoTime) -> bool {
+        self.earlier.is_none() || now > self.earlier_end_on(vm).after(DELAYED_CALL_LIMIT)
+    }
+
     /// Returns whether whichever row is in the store covers a lease.
     fn covers(&self, vm: &str, end: MonoTime) -> bool {
         let mut rows = std::iter::once(&self.confirmed).chain(&self.pending);
@@ -105,28 +111,50 @@
         vm.granted_end = vm.granted_end.max(Some(grant.lease_end));
     }
 
-    /// Returns how long a lease that counts from a report may last.
+    /// Returns how long a lease that counts from a report may last, at most, if earlier agents can have
+    /// renewed leases until `known_end`.
     ///
     /// A restarted agent knows nothing of the leases that earlier agents renewed, and states the
-    /// longest that its worker accepts. Of an incarnation to which this leader has granted leases it
-    /// knows when those end.
-    pub(super) fn report_wait(&self, report: &VmReport, now: MonoTime) -> Duration {
+    /// longest that its worker accepts.
+    pub(super) fn report_wait(
+        &self,
+        report: &VmReport,
+        known_end: Option<MonoTime>,
+        now: MonoTime,
+    ) -> Duration {
         let earlier_wait = self.timeouts.lease.earlier_wait();
         let stated = report.lease_wait.unwrap_or(earlier_wait);
-        let known_end = || {
-            let vm = self.vms.get(&report.vm)?;
-            let info = report.endpoint_info.as_ref()?;
-            let is_known =
-                info.incarnation.started_at_millis > 0 && vm.is_incarnation(&info.incarnation);
-            let granted_end = vm.granted_end.filter(|_| is_known)?;
-            Some(granted_end.max(self.leases.earlier_end_on(&report.vm)))
-        };
-        match (report.own_lease_wait, known_end()) {
+        match (report.own_lease_wait, known_end) {
             (Some(own), Some(end)) => stated.min(own.max(end.since(now))),
             _ => stated,
         }
     }
 
+    /// Returns when the leases have expired that earlier agents of a VM can have renewed; [`None`] if
+    /// a deadline by the clock of an earlier incarnation may stand for the longest lease.
+    pub(super) fn known_lease_end(&self, report: &VmReport, now: MonoTime) -> Option<MonoTime> {
+        let info = report.endpoint_info.as_ref()?;
+        let incarnation = &info.incarnation;
+        // Workers that do not state when they started cannot be told apart.
+        if incarnation.started_at_millis == 0 {
+            return None;
+        }
+        let earlier_end = self.leases.earlier_end_on(&report.vm);
+        let Some(vm) = self.vms.get(&report.vm) else {
+            let is_new = self.leases.is_ungranted(&report.vm, now);
+            return is_new.then_some(earlier_end);
+        };
+        if vm.info.is_none() {
+            // The leader that placed an attempt there knew all leases of that incarnation.
+            let mut attempts = vm.attempts.values();
+            let is_known = attempts.any(|attempt| attempt.location.incarnation == *incarnation);
+            let is_new = vm.attempts.is_empty() && self.leases.is_ungranted(&report.vm, now);
+            return (is_known || is_new).then_some(earlier_end);
+        }
+        let granted_end = vm.granted_end.filter(|_| vm.is_incarnation(incarnation))?;
+        Some(granted_end.max(earlier_end))
+    }
+
     /// Grants the leases that the confirmed row covers.
     pub(super) fn grant_withheld(&mut self, now: MonoTime) {
         for (name, grant) in std::mem::take(&mut self.leases.withheld) {
@@ -155,8 +183,10 @@
         let known_end = renewed().map(|(_, vm)| vm.all_leases_end_at()).max();
         let mut ends_at = known_end.unwrap_or(now).max(now);
         if !self.is_releasing {
-            let reporting = renewed().filter(|(_, vm)| vm.is_reachable(now));
-            let waits = reporting.filter_map(|(_, vm)| vm.lease_wait);
+            // Only an agent of whose reports leases count.
+            let reporting =
+                renewed().filter(|(_, vm)| vm.is_reachable(now) && vm.stamp_millis.is_some());
+            let waits = reporting.filter_map(|(_, vm)| vm.renewable_wait);
             let longest = waits.chain([self.timeouts.lease.wait()]).max();
             let window = self.timeouts.renewal_window + longest.unwrap_or_default();
             ends_at = ends_at.max(now.after(window));
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -202,11 +202,11 @@
     pub(crate) earlier_leases_end_at: MonoTime,
     /// When this leader last granted a lease, if it has granted any.
     pub(crate) granted_at: Option<MonoTime>,
-    /// When the leases have expired that this leader granted in the endpoint's current incarnation,
-    /// with those that the agents stated then; [`None`] if it has granted none.
+    /// When the leases have expired that agents have stated or this leader has granted in the
+    /// endpoint's current incarnation; [`None`] while earlier ones are not known.
     pub(crate) granted_end: Option<MonoTime>,
-    /// How long a lease granted to the agent may last; [`None`] before its first report.
-    pub(crate) lease_wait: Option<Duration>,
+    /// How long a lease that the agent renews may last; [`None`] before its first report.
+    pub(crate) renewable_wait: Option<Duration>,
     /// The agent knows this leader, so no other leader renews its leases.
     pub(crate) knows_leader: bool,
     /// Attempts that may be running on the VM.
@@ -250,7 +250,7 @@
             earlier_leases_end_at,
             granted_at: None,
             granted_end: None,
-            lease_wait: None,
+            renewable_wait: None,
             knows_leader: false,
             attempts: BTreeMap::new(),
             expired: Vec::new(),
--- a/crates/turmeric-jobs/tests/lease_waits.rs
+++ b/crates/turmeric-jobs/tests/lease_waits.rs
@@ -72,14 +72,35 @@
 
 impl LossScene {
     fn new(limits: LeaseLimits) -> Self {
+        Self::with_agent(limits, None)
+    }
+
+    /// Creates the scene with VM `a` joining the first leader of a deployment, both processes of the
+    /// VM being new.
+    fn with_joining_vm(limits: LeaseLimits) -> Self {
+        let now = MonoTime::from_millis(1_000);
+        let mut lease = WorkerLease::new();
+        fence(&mut lease, &limits, now);
+        Self::with_agent(limits, Some(lease))
+    }
+
+    fn with_agent(limits: LeaseLimits, joining: Option<WorkerLease>) -> Self {
+        let mut leader = new_leader(limits, 1, MonoTime::from_millis(1_000));
+        if joining.is_some() {
+            leader = leader.with_promises(LeasePromise::none(), LeasePromise::none());
+        }
+        let incarnation = EndpointIncarnation {
+            endpoint: "a".to_owned(),
+            started_at_millis: 1,
+        };
         let mut scene = Self {
-            leader: new_leader(limits, 1, MonoTime::from_millis(1_000)),
+            leader,
             limits,
             job: JobCode::new(1),
             row: v1::LeaderRow::default(),
             row_written_at: MonoTime::default(),
             progress: v1::JobProgress::default(),
-            restarted: None,
+            restarted: joining.map(|lease| (lease, incarnation)),
             now: MonoTime::from_millis(1_000),
         };
         scene.leader.add_job(scene.job, spec(), WallTime::default());
@@ -149,11 +170,7 @@
     /// Restarts the agent of VM `a` beside its worker, of the incarnation with this start.
     fn restart_agent(&mut self, started_at_millis: u64) {
         let mut lease = WorkerLease::new();
-        lease.record_reading(ClockReading {
-            received_at: self.now,
-            worker_millis: 500_000,
-        });
-        lease.record_fencing(&self.limits, self.now);
+        fence(&mut lease, &self.limits, self.now);
         let incarnation = EndpointIncarnation {
             endpoint: "a".to_owned(),
             started_at_millis,
@@ -240,6 +257,15 @@
     }
 }
 
+/// Records that a worker has answered the first poll of an agent.
+fn fence(lease: &mut WorkerLease, limits: &LeaseLimits, now: MonoTime) {
+    lease.record_reading(ClockReading {
+        received_at: now,
+        worker_millis: 500_000,
+    });
+    lease.record_fencing(limits, now);
+}
+
 fn new_leader(limits: LeaseLimits, epoch: u64, now: MonoTime) -> JobScheduler {
     let timeouts = LeaderTimeouts {
         lease: limits,
@@ -447,6 +473,90 @@
     assert!(scene.moved_at() < lost_at.after(LOSS_BOUND));
 }
 
+/// Guards against the same in the first seconds of a deployment, and around a change of the leader.
+#[rstest]
+fn task_of_a_vm_that_is_lost_after_its_agent_restarted_runs_elsewhere_in_time_whoever_leads(
+    #[values(false, true)] is_first: bool,
+    #[values(0, 400, 2_000)] takeover_age: u64,
+) {
+    let mut scene = LossScene::with_known_promise(10);
+    if is_first {
+        scene = LossScene::new(LeaseLimits::new(Duration::from_secs(10)));
+        scene.leader = scene
+            .leader
+            .with_promises(LeasePromise::none(), LeasePromise::none());
+        scene.pass(Duration::from_secs(2), &BOTH);
+    }
+    scene.restart_agent(1);
+    if !is_first {
+        scene.take_over();
+    }
+    scene.pass(Duration::from_millis(takeover_age), &BOTH);
+    let lost_at = scene.now;
+    assert!(scene.moved_at() < lost_at.after(LOSS_BOUND));
+}
+
+/// Guards against the same on a VM that has just joined: nobody has granted leases there.
+#[rstest]
+fn task_of_a_vm_that_is_lost_after_it_joined_runs_elsewhere_in_time(
+    #[values(6, 10)] accepted: u64,
+    #[values(0, 400, 2_000)] age: u64,
+) {
+    let mut scene = LossScene::with_joining_vm(LeaseLimits::new(Duration::from_secs(accepted)));
+    scene.pass(Duration::from_millis(age), &BOTH);
+    let lost_at = scene.now;
+    assert!(scene.moved_at() < lost_at.after(LOSS_BOUND));
+}
+
+/// What has happened before a worker restarts under its identifier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EarlierCall {
+    /// All calls with a deadline were answered, by an agent that has run for so many seconds.
+    Answered { agent_age: u64 },
+    /// One got no answer so many seconds ago.
+    Unanswered { age: u64 },
+    /// The worker has then refused the token of this agent.
+    Refused,
+}
+
+/// Guards against waits for the longest lease where no deadline can be under way, and against two runs of
+/// one task where one can.
+#[rstest]
+#[case::all_answered(EarlierCall::Answered { agent_age: 60 }, false)]
+#[case::young_agent(EarlierCall::Answered { agent_age: 10 }, true)]
+#[case::unanswered(EarlierCall::Unanswered { age: 1 }, true)]
+#[case::unanswered_long_ago(EarlierCall::Unanswered { age: 20 }, false)]
+#[case::other_agent(EarlierCall::Refused, true)]
+fn longest_lease_is_stated_only_while_a_deadline_may_be_under_way(
+    #[case] earlier: EarlierCall,
+    #[case] is_longest: bool,
+) {
+    let limits = LeaseLimits::new(Duration::from_secs(10));
+    let at = |seconds| MonoTime::from_millis(seconds * 1_000);
+    let mut lease = WorkerLease::new();
+    fence(&mut lease, &limits, at(100));
+    lease.record_deadline(506_000);
+    let restarted_at = match earlier {
+        EarlierCall::Answered { agent_age } => at(100 + agent_age),
+        EarlierCall::Unanswered { age } => {
+            lease.record_unanswered(at(160 - age));
+            at(160)
+        }
+        EarlierCall::Refused => at(160),
+    };
+    let mut next = lease.next_incarnation();
+    fence(&mut next, &limits, restarted_at);
+    if earlier == EarlierCall::Refused {
+        fence(&mut next, &limits, restarted_at);
+    }
+    let stated = next.wait(&limits, None, false, restarted_at);
+    assert_eq!(stated > limits.wait(), is_longest, "{stated:?}");
+    // The leader cannot know of a deadline that this agent has sent, or that came with a higher token.
+    let own = next.own_wait(&limits, None, false, restarted_at);
+    let is_own = is_longest && !matches!(earlier, EarlierCall::Answered { .. });
+    assert_eq!(own > limits.wait(), is_own, "{own:?}");
+}
+
 /// Guards against the same after a crash of the leader: the promise of its row must not cover more
 /// than what agents can renew, on any VM, because one agent has restarted.
 #[test]
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -850,6 +850,7 @@
         self.replaced_links.retain(|link| link.entry != entry);
         self.forgotten[entry] = ForgottenJobs::new();
         self.intake_reads.retain(|read| read.entry != entry);
+        let is_first = self.store.epoch == 0;
         self.store.epoch += 1;
         self.store.sequence = 0;
         let mut terms = LeaderTimeouts {
@@ -865,6 +866,7 @@
         let now = self.mono();
         let earlier = match self.fault {
             Some(WorldFault::IgnoredPromise) => LeasePromise::new(now),
+            _ if is_first => LeasePromise::none(),
             _ => earlier,
         };
         let own = earlier.take_over(&terms.lease, terms.renewal_window, now);
