Check the bound of refused rows in the model

What callers saw: nothing yet. The table of restart stages gives a refused row 3 s from when the store accepts it again; the code gave no bound, so the model never compared it.

The bound is in the table in code now, and the model counts it from the last disturbance, since the store's refusal is one. Drawn schedules refuse the rows of long-running jobs whose tasks fail.

Evidence: with a store that goes on refusing unseen, refusal_that_goes_on_delays_a_restart failed before, as no stage was late; it passes now.

--- a/crates/turmeric-jobs/src/scheduler/absences.rs
+++ b/crates/turmeric-jobs/src/scheduler/absences.rs
@@ -87,7 +87,8 @@
     }
 
     /// Returns how long a task may be in the stage while store, leader and its new VM are not
-    /// disturbed; [`None`] if only others can end it.
+    /// disturbed; [`None`] if only others can end it. [`Self::Row`] counts from when the store
+    /// accepts the row.
     pub fn bound(self, timeouts: &LeaderTimeouts) -> Option<Duration> {
         match self {
             Self::Leases => Some(timeouts.lease.wait() + timeouts.renewal_window + TAKEOVER_DELAY),
@@ -99,9 +100,11 @@
             Self::Record => Some(Duration::from_millis(1000)),
             // The timeout of a start. Where no other VM has enough free, the task stays.
             Self::Start => Some(Duration::from_millis(3000)),
+            // The longest delay of a retry, and the writes of a record.
+            Self::Row => Some(Duration::from_millis(3000)),
             // Suspected tasks are started one after the other.
             Self::Probe => None,
-            Self::Capacity | Self::Row => None,
+            Self::Capacity => None,
         }
     }
 }
--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -12,7 +12,7 @@
 use proptest::test_runner::{TestCaseError, TestRng, TestRunner};
 use rstest::rstest;
 use turmeric_jobs::{RestartStage, StoreBounds};
-use world::full_fleets::{full_fleet_schedule, replaceable_world};
+use world::full_fleets::{full_fleet_schedule, refused_row_schedule, replaceable_world};
 use world::removal::RemovalOrder;
 use world::restarts::RestartChecks;
 use world::worker::WorkerSilence;
@@ -423,9 +423,13 @@
 /// Number of schedules of full fleets in which each check of restarts must apply.
 const RESTART_CASES: u32 = 600;
 
-/// Plays drawn schedules of full fleets, and returns how often the checks of restarts applied, or the
-/// first violation.
-fn play_full_fleets(cases: u32, fault: Option<WorldFault>) -> Result<RestartChecks, String> {
+/// Plays drawn schedules of fleets whose VMs may be replaced, and returns how often the checks of
+/// restarts applied, or the first violation.
+fn play_restarts(
+    schedule: impl Strategy<Value = Vec<WorldEvent>>,
+    cases: u32,
+    fault: Option<WorldFault>,
+) -> Result<RestartChecks, String> {
     let config = ProptestConfig {
         cases,
         failure_persistence: None,
@@ -435,7 +439,7 @@
     let rng = TestRng::deterministic_rng(config.rng_algorithm);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let checks = RefCell::new(RestartChecks::default());
-    let result = runner.run(&full_fleet_schedule(), |events| {
+    let result = runner.run(&schedule, |events| {
         let mut world = replaceable_world(fault);
         play(&mut world, &events)?;
         checks.borrow_mut().add(world.restart_checks());
@@ -447,10 +451,14 @@
     result.map(|()| checks).map_err(|error| error.to_string())
 }
 
+/// Number of schedules with refused rows.
+const REFUSED_ROW_CASES: u32 = 200;
+
 /// Guards against checks of restarts that never apply.
 #[test]
 fn restart_checks_apply_in_full_fleets() {
-    let checks = play_full_fleets(RESTART_CASES, None).unwrap();
+    let mut checks = play_restarts(full_fleet_schedule(), RESTART_CASES, None).unwrap();
+    checks.add(&play_restarts(refused_row_schedule(), REFUSED_ROW_CASES, None).unwrap());
     println!("{checks:?}");
     for stage in RestartStage::ALL {
         // The model's store records an attempt in the round in which it is placed, or is disturbed.
@@ -470,10 +478,18 @@
 #[case::idle_placement(WorldFault::IdlePlacement, "")]
 #[case::long_wait(WorldFault::LongWait, "is in leases for")]
 fn deliberate_fault_delays_a_restart(#[case] fault: WorldFault, #[case] violation: &str) {
-    let reason = play_full_fleets(RESTART_CASES, Some(fault)).unwrap_err();
+    let reason = play_restarts(full_fleet_schedule(), RESTART_CASES, Some(fault)).unwrap_err();
     assert!(reason.contains(violation), "{reason}");
 }
 
+/// Guards against a bound of refused rows that cannot be exceeded.
+#[test]
+fn refusal_that_goes_on_delays_a_restart() {
+    let fault = Some(WorldFault::HiddenRefusal);
+    let reason = play_restarts(refused_row_schedule(), REFUSED_ROW_CASES, fault).unwrap_err();
+    assert!(reason.contains("is in row for"), "{reason}");
+}
+
 /// What was placed before the store went away starts once the store is back, by which time its
 /// VM may have shrunk.
 #[test]
--- a/crates/turmeric-jobs/tests/world/full_fleets.rs
+++ b/crates/turmeric-jobs/tests/world/full_fleets.rs
@@ -191,3 +191,39 @@
         [jobs, parts.concat(), calm].concat()
     })
 }
+
+/// A long-running job whose tasks fail while the store refuses its row for a while, and calm.
+fn refused_row() -> impl Strategy<Value = Vec<WorldEvent>> {
+    let failure = (0..VMS, 1..4_usize, 0..4_usize).prop_map(|(worker, count, gap)| {
+        let failure = WorldEvent::FailLongRunning { worker, count };
+        [failure, rounds(gap)]
+    });
+    let failures = proptest::collection::vec(failure, 1..=4);
+    (serving_job(), failures, 1..120_usize, 80..160_usize).prop_map(
+        |(job, failures, refused, gap)| {
+            [
+                vec![job, rounds(30), WorldEvent::RefuseRows { on: true }],
+                failures.concat(),
+                vec![
+                    rounds(refused),
+                    WorldEvent::RefuseRows { on: false },
+                    rounds(gap),
+                ],
+            ]
+            .concat()
+        },
+    )
+}
+
+/// Schedules in which the store refuses the rows of long-running jobs, with calm at the end.
+pub fn refused_row_schedule() -> impl Strategy<Value = Vec<WorldEvent>> {
+    let part = prop_oneof![
+        4 => refused_row(),
+        1 => lone_event().prop_map(|event| vec![event]),
+        1 => failures(),
+    ];
+    proptest::collection::vec(part, 1..6).prop_map(|parts| {
+        let calm = vec![rounds(300)];
+        [parts.concat(), calm].concat()
+    })
+}
--- a/crates/turmeric-jobs/tests/world/mod.rs
+++ b/crates/turmeric-jobs/tests/world/mod.rs
@@ -201,6 +201,8 @@
     HiddenSilence,
     /// Leaders place nothing while a long-running task that has run does not run.
     IdlePlacement,
+    /// The store goes on refusing rows that it is said to accept again.
+    HiddenRefusal,
 }
 
 /// Contents of the simulated store.
@@ -221,6 +223,8 @@
     parts: BTreeMap<(JobCode, ProgressPart), Vec<u8>>,
     /// Jobs of which it refuses all rows.
     refused: BTreeSet<JobCode>,
+    /// The same of jobs whose rows it is said to accept again.
+    refused_unseen: BTreeSet<JobCode>,
 }
 
 impl ModelStore {
@@ -240,7 +244,9 @@
 
     fn refuses(&self, plan: &CommitPlan) -> bool {
         let is_refused = |owner: &RowOwner| match owner {
-            RowOwner::Job(code) => self.refused.contains(code),
+            RowOwner::Job(code) => {
+                self.refused.contains(code) || self.refused_unseen.contains(code)
+            }
             RowOwner::Interference => false,
         };
         plan.owners().iter().any(is_refused)
@@ -609,6 +615,9 @@
             }
             WorldEvent::RefuseRows { on } => {
                 let newest = on.then_some(JobCode::new(self.next_job));
+                if self.fault == Some(WorldFault::HiddenRefusal) {
+                    self.store.refused_unseen = std::mem::take(&mut self.store.refused);
+                }
                 self.store.refused = newest.into_iter().collect();
             }
             WorldEvent::ForgetHistory { rounds } => self.read_intake(*rounds),
--- a/crates/turmeric-jobs/tests/world/restarts.rs
+++ b/crates/turmeric-jobs/tests/world/restarts.rs
@@ -170,7 +170,12 @@
                 continue;
             }
             *checks.stages.entry(entry.stage).or_default() += 1;
-            let length = self.now - entry.entered_at;
+            let started_at = match entry.stage {
+                // Its bound counts from when the store accepts the row again.
+                RestartStage::Row => entry.entered_at.max(self.disturbances.shared_at),
+                _ => entry.entered_at,
+            };
+            let length = self.now - started_at;
             if length > bound.as_millis() as u64 + REVIEW_DELAY {
                 let label = entry.stage.label();
                 late = late.or(Some(format!("{task} is in {label} for {length} ms")));
@@ -184,6 +189,9 @@
     /// tasks on none, all VMs. Other tasks may take room that is not reserved.
     fn is_stage_calm(&self, leader: &JobScheduler, task: &TaskName, entry: &StageEntry) -> bool {
         let log = &self.disturbances;
+        if entry.stage == RestartStage::Row {
+            return self.now > log.shared_at;
+        }
         if log.shared_at >= entry.entered_at {
             return false;
         }
