Follow all long-running tasks that do not run, also after a change of the leader

What callers saw: three kinds of long-running tasks that no log line named. One that an earlier leader had placed and that its VM's agent no longer listed; one that vanished from the list of its worker without an end, which stayed on the VM for good if the worker did not start it again, beside a VM that would; and one that had never run. After a change of the leader, absences counted from its first review.

Cause: an attempt counted as running once any report had said so, and unconfirmed ones were passed over if an earlier leader had placed them or if they were a task's first. The number of attempts stood for whether the task has run, so a rejected first attempt took the room of an interrupted task.

An attempt that a complete report lacks is now ordered, timed and evicted like one that was not started. A task has run if a report said so, if an end is listed, or if its attempt may have run when it was lost. The stages of tasks that have never run are followed apart, logged once and counted in first_wait_seconds: the platform counts them by its general rule only, so they shorten no wait for a refused row and rank behind interrupted ones.

Evidence: with the code before, new_leader_sees_a_task_that_is_no_longer_listed_as_absent, absence_of_a_waiting_task_counts_from_the_takeover, task_that_vanishes_without_an_end_moves_unless_it_is_started_again and interrupted_task_goes_before_one_that_was_rejected_earlier fail; the two tests of first waits need the new interface. The other new tests pass on both and guard what must stay.

--- a/crates/turmeric-daemon/src/hosted/decision_log.rs
+++ b/crates/turmeric-daemon/src/hosted/decision_log.rs
@@ -127,24 +127,27 @@
             }
             JobEvent::Absent {
                 task,
+                has_run,
                 stage,
                 absence,
             } => {
                 warn!("long-running task does not run", kv: {
-                    task = task.to_string(), stage = stage.label(),
+                    task = task.to_string(), has_run = has_run, stage = stage.label(),
                     absent_ms = absence.as_millis() as u64
                 });
             }
             JobEvent::Resumed {
                 task,
+                has_run,
                 absence,
                 stages,
                 is_long,
             } => {
-                metrics.record_absence(longest_stage(&stages), absence);
+                metrics.record_absence(has_run, longest_stage(&stages), absence);
                 if is_long {
                     info!("long-running task runs again", kv: {
-                        task = task.to_string(), absent_ms = absence.as_millis() as u64,
+                        task = task.to_string(), has_run = has_run,
+                        absent_ms = absence.as_millis() as u64,
                         stages = describe_stages(&stages)
                     });
                 }
--- a/crates/turmeric-daemon/src/hosted/metrics.rs
+++ b/crates/turmeric-daemon/src/hosted/metrics.rs
@@ -130,6 +130,8 @@
     lease_wait_seconds: Family<OriginLabels, Histogram, fn() -> Histogram>,
     /// Time from the end of a long-running task to its next run, by the stage that took longest.
     absence_seconds: Family<StageLabels, Histogram, fn() -> Histogram>,
+    /// Time from the turn of a long-running task to its first run, by the stage that took longest.
+    first_wait_seconds: Family<StageLabels, Histogram, fn() -> Histogram>,
     /// Epoch of this entry's leadership; zero while it does not lead.
     pub(crate) lead_epoch: Gauge<i64, AtomicI64>,
     /// Time of each leg of a job's way to its first start.
@@ -176,6 +178,7 @@
             workers: Family::default(),
             lease_wait_seconds: Family::new_with_constructor(lease_histogram),
             absence_seconds: Family::new_with_constructor(lease_histogram),
+            first_wait_seconds: Family::new_with_constructor(lease_histogram),
             lead_epoch: Gauge::default(),
             start_leg_seconds: Family::new_with_constructor(histogram),
             open_jobs: Gauge::default(),
@@ -263,6 +266,12 @@
             Unit::Seconds,
             self.absence_seconds.clone(),
         );
+        registry.register_with_unit(
+            "first_wait",
+            "Time from the turn of a long-running task to its first run",
+            Unit::Seconds,
+            self.first_wait_seconds.clone(),
+        );
         registry.register(
             "lead_epoch",
             "Epoch of this entry's leadership, or zero while it does not lead",
@@ -364,8 +373,13 @@
     }
 
     /// Records how long a long-running task did not run.
-    pub(crate) fn record_absence(&self, stage: &'static str, elapsed: Duration) {
-        self.absence_seconds
+    pub(crate) fn record_absence(&self, has_run: bool, stage: &'static str, elapsed: Duration) {
+        let seconds = if has_run {
+            &self.absence_seconds
+        } else {
+            &self.first_wait_seconds
+        };
+        seconds
             .get_or_create(&StageLabels { stage })
             .observe(elapsed.as_secs_f64());
     }
--- a/crates/turmeric-jobs/src/progress.rs
+++ b/crates/turmeric-jobs/src/progress.rs
@@ -88,6 +88,10 @@
     /// How often this leader has evicted it because it made no progress, or was not started; of a
     /// long-running task, since it was last at work.
     pub stalls: u32,
+    /// An attempt has run, or may have.
+    pub has_run: bool,
+    /// An earlier leader placed an attempt, and no report to this one has said that one runs.
+    pub is_inherited: bool,
 }
 
 impl TaskState {
@@ -190,6 +194,7 @@
             let Some(state) = self.tasks.get_mut(&name) else {
                 continue;
             };
+            let has_run = location.is_some() || self.phase != JobPhase::Queued;
             *state = TaskState {
                 is_done: task.done,
                 attempt: AttemptNumber::new(task.run),
@@ -202,6 +207,8 @@
                 checkpoint: String::new(),
                 location,
                 stalls: 0,
+                has_run: task.run > 0 && has_run,
+                is_inherited: task.run > 0,
             };
             if !task.done {
                 self.save_checkpoint(&name, &task.checkpoint);
--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -105,7 +105,7 @@
     rejections: BTreeMap<TaskName, BTreeMap<String, MonoTime>>,
     /// Space reserved for long-running tasks that are being moved.
     moves: BTreeMap<TaskName, MoveReservation>,
-    /// Long-running tasks that have run and do not run.
+    /// Long-running tasks that do not run.
     absences: AbsenceTable,
     consolidation_due: MonoTime,
     /// Number of VMs, by ascending serving work, that the next round of consolidation passes
--- a/crates/turmeric-jobs/src/scheduler/absences.rs
+++ b/crates/turmeric-jobs/src/scheduler/absences.rs
@@ -1,4 +1,4 @@
-//! Follows long-running tasks that have run and do not run, for the log and the metrics.
+//! Follows long-running tasks that do not run, for the log and the metrics.
 //!
 //! Load pattern: VMs are lost and replaced while the fleet is full. On its way to the next run a
 //! task passes through several waits, some of which follow from a promise and have a bound.
@@ -21,7 +21,7 @@
 const LOGGED_ABSENCE: Duration = Duration::from_secs(4);
 
 /// Most waiting tasks for which a review checks all VMs, so that it takes under 1% of the
-/// leader's time. The others keep the stage that they had.
+/// leader's time. The others keep the stage that they had. As many that have never run are followed.
 const CHECK_LIMIT: usize = 64;
 
 /// Time from the release of a leadership, or the last write of a crashed leader, until another
@@ -109,11 +109,14 @@
     }
 }
 
-/// The time since the last run of a long-running task.
+/// The time since the last run of a long-running task, or since its turn if it has never run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TaskAbsence {
     /// When the task is known to have stopped, or was last heard of.
     pub since: MonoTime,
+    /// An attempt of the task has run, or may have. The bounds of the stages hold only for such
+    /// tasks.
+    pub has_run: bool,
     /// What it waits for.
     pub stage: RestartStage,
     /// Since when it waits for that.
@@ -124,11 +127,12 @@
 }
 
 impl TaskAbsence {
-    fn new(stage: RestartStage, since: MonoTime) -> Self {
+    fn new(review: &StageReview) -> Self {
         Self {
-            since,
-            stage,
-            entered_at: since,
+            since: review.since,
+            has_run: review.has_run,
+            stage: review.stage.unwrap_or(RestartStage::Capacity),
+            entered_at: review.since,
             spent: BTreeMap::new(),
             is_logged: false,
         }
@@ -145,6 +149,16 @@
         true
     }
 
+    /// Returns whether the absence should be logged, at the latest stage.
+    fn is_due(&self, has_changed: bool, now: MonoTime) -> bool {
+        let is_long = now.since(self.since) > LOGGED_ABSENCE;
+        if self.has_run {
+            return is_long && (has_changed || !self.is_logged);
+        }
+        // Without room the platform counts no absence, and whole jobs wait in a full fleet.
+        is_long && !self.is_logged && self.stage != RestartStage::Capacity
+    }
+
     /// Returns the time spent in each stage until `now`.
     fn stages(&self, now: MonoTime) -> Vec<(RestartStage, Duration)> {
         let mut spent = self.spent.clone();
@@ -153,7 +167,16 @@
     }
 }
 
-/// Long-running tasks that have run and do not run.
+/// What a review finds of a long-running task that does not run.
+struct StageReview {
+    /// [`None`] for waiting tasks beyond the limit.
+    stage: Option<RestartStage>,
+    /// Since when the task may not run.
+    since: MonoTime,
+    has_run: bool,
+}
+
+/// Long-running tasks that do not run.
 #[derive(Debug, Default)]
 pub(super) struct AbsenceTable {
     absences: BTreeMap<TaskName, TaskAbsence>,
@@ -163,12 +186,20 @@
 impl JobScheduler {
     /// Returns the long-running tasks that have run and do not run, as of the last review.
     pub fn absences(&self) -> impl Iterator<Item = (&TaskName, &TaskAbsence)> {
-        self.absences.absences.iter()
+        let absences = self.absences.absences.iter();
+        absences.filter(|(_, absence)| absence.has_run)
     }
 
-    /// Returns since when a long-running task has not run, as of the last review.
+    /// Returns the long-running tasks that wait for their first run, as of the last review.
+    pub fn first_waits(&self) -> impl Iterator<Item = (&TaskName, &TaskAbsence)> {
+        let absences = self.absences.absences.iter();
+        absences.filter(|(_, absence)| !absence.has_run)
+    }
+
+    /// Returns since when a long-running task that has run has not, as of the last review.
     pub(super) fn absent_since(&self, task: &TaskName) -> Option<MonoTime> {
         let absence = self.absences.absences.get(task);
+        let absence = absence.filter(|absence| absence.has_run);
         absence.map(|absence| absence.since)
     }
 
@@ -181,10 +212,11 @@
         let mut absences = std::mem::take(&mut self.absences.absences);
         let mut events = Vec::new();
         absences.retain(|task, absence| {
-            let Some((stage, _)) = stages.remove(task) else {
-                if self.is_confirmed(task) {
+            let Some(review) = stages.remove(task) else {
+                if self.runs(task) {
                     events.push(JobEvent::Resumed {
                         task: *task,
+                        has_run: absence.has_run,
                         absence: now.since(absence.since),
                         stages: absence.stages(now),
                         is_long: absence.is_logged,
@@ -192,26 +224,28 @@
                 }
                 return false;
             };
-            let has_changed = absence.enter(stage.unwrap_or(absence.stage), now);
-            let length = now.since(absence.since);
-            if length > LOGGED_ABSENCE && (has_changed || !absence.is_logged) {
+            if review.has_run != absence.has_run {
+                *absence = TaskAbsence::new(&review);
+            }
+            let has_changed = absence.enter(review.stage.unwrap_or(absence.stage), now);
+            if absence.is_due(has_changed, now) {
                 absence.is_logged = true;
                 events.push(JobEvent::Absent {
                     task: *task,
+                    has_run: absence.has_run,
                     stage: absence.stage,
-                    absence: length,
+                    absence: now.since(absence.since),
                 });
             }
             true
         });
-        for (task, (stage, since)) in stages {
-            let stage = stage.unwrap_or(RestartStage::Capacity);
-            absences.insert(task, TaskAbsence::new(stage, since));
-        }
+        let new = stages.iter();
+        absences.extend(new.map(|(task, review)| (*task, TaskAbsence::new(review))));
         for event in events {
             self.events.push(event);
         }
-        let jobs: BTreeSet<JobCode> = absences.keys().map(|task| task.job).collect();
+        let interrupted = absences.iter().filter(|(_, absence)| absence.has_run);
+        let jobs: BTreeSet<JobCode> = interrupted.map(|(task, _)| task.job).collect();
         self.refusals
             .hasten(|owner| matches!(owner, RowOwner::Job(code) if jobs.contains(code)));
         self.absences = AbsenceTable {
@@ -220,8 +254,8 @@
         };
     }
 
-    /// Returns whether a report says that a task runs.
-    fn is_confirmed(&self, task: &TaskName) -> bool {
+    /// Returns whether the last report of its VM says that a task runs.
+    fn runs(&self, task: &TaskName) -> bool {
         let job = self.jobs.get(&task.job);
         let job = job.filter(|job| !job.phase.is_terminal());
         let state = job.and_then(|job| job.tasks.get(task));
@@ -233,47 +267,78 @@
             };
             let vm = self.vms.get(&location.vm);
             let attempt = vm.and_then(|vm| vm.attempts.get(&key));
-            attempt.is_some_and(|attempt| attempt.is_confirmed)
+            attempt.is_some_and(|attempt| attempt.is_known_to_run())
         })
     }
 
-    /// Returns the stage of each long-running task that does not run, with the time since which it
-    /// may not run. The stage is [`None`] for waiting tasks beyond the limit.
-    fn restart_stages(
-        &self,
-        now: MonoTime,
-    ) -> BTreeMap<TaskName, (Option<RestartStage>, MonoTime)> {
+    /// Returns the stage of each long-running task that does not run.
+    fn restart_stages(&self, now: MonoTime) -> BTreeMap<TaskName, StageReview> {
         let mut stages = BTreeMap::new();
-        let mut waiting: Vec<(JobCode, &JobState, TaskName)> = Vec::new();
+        let mut waiting: Vec<(JobCode, &JobState, TaskName, &TaskState)> = Vec::new();
+        let mut new: Vec<(JobCode, &JobState, TaskName, &TaskState)> = Vec::new();
         let open = self.jobs.iter();
         let open = open.filter(|(_, job)| !job.phase.is_terminal() && job.spec.is_long_running());
         for (code, job) in open {
             for (task, state) in &job.tasks {
                 let step = job.spec.steps.get(task.step as usize);
-                if step.is_none_or(|step| !step.is_long_running) || state.attempt.get() == 0 {
+                if step.is_none_or(|step| !step.is_long_running) {
                     continue;
                 }
-                if state.location.is_none() {
-                    waiting.push((*code, job, *task));
+                if state.location.is_none() && state.has_run {
+                    waiting.push((*code, job, *task, state));
+                } else if state.location.is_none() {
+                    // An occurrence of a repeating job may not be due yet.
+                    let may_start =
+                        job.spec.repeat.is_none() && job.is_ready(&task.first_of_step());
+                    if may_start && new.len() < CHECK_LIMIT {
+                        new.push((*code, job, *task, state));
+                    }
                 } else if let Some((stage, since)) = self.placed_stage(task, state, now) {
-                    stages.insert(*task, (Some(stage), since));
+                    let review = StageReview {
+                        stage: Some(stage),
+                        since,
+                        has_run: state.has_run,
+                    };
+                    stages.insert(*task, review);
                 }
             }
         }
-        if waiting.is_empty() {
+        if waiting.is_empty() && new.is_empty() {
             return stages;
         }
         let fleet = self.fleet_capacity(now);
-        for (position, (code, job, task)) in waiting.into_iter().enumerate() {
-            let stage =
-                (position < CHECK_LIMIT).then(|| self.waiting_stage(code, job, &task, &fleet, now));
-            stages.insert(task, (stage, now));
+        let checked = waiting.iter().take(CHECK_LIMIT).chain(&new);
+        for (code, job, task, state) in checked {
+            let review = StageReview {
+                stage: Some(self.waiting_stage(*code, job, task, &fleet, now)),
+                since: self.stopped_at(state, now),
+                has_run: state.has_run,
+            };
+            stages.insert(*task, review);
+        }
+        for (_, _, task, state) in waiting.iter().skip(CHECK_LIMIT) {
+            let review = StageReview {
+                stage: None,
+                since: self.stopped_at(state, now),
+                has_run: true,
+            };
+            stages.insert(*task, review);
         }
         stages
     }
 
-    /// Returns the stage of a task that is placed on a VM, or [`None`] if it runs there, if its
-    /// first attempt is about to start, or if the VM has not told this leader yet.
+    /// Returns since when a task that is found not to run at `now` may not run: since the takeover
+    /// if no report to this leader has said that it runs.
+    fn stopped_at(&self, state: &TaskState, now: MonoTime) -> MonoTime {
+        if state.is_inherited {
+            self.took_over_at
+        } else {
+            now
+        }
+    }
+
+    /// Returns the stage of a task that is placed on a VM, or [`None`] if it runs there or if the VM
+    /// has not told this leader yet.
     fn placed_stage(
         &self,
         task: &TaskName,
@@ -291,11 +356,11 @@
             let heard_at = vm.unresponsive_since.unwrap_or(vm.reported_at);
             return Some((RestartStage::Leases, heard_at));
         }
+        let since = self.stopped_at(state, now);
         if attempt.is_evicted {
-            return Some((RestartStage::Stop, now));
+            return Some((RestartStage::Stop, since));
         }
-        let is_first = attempt.placed_at == MonoTime::default() || state.attempt.get() == 1;
-        if attempt.is_confirmed || is_first {
+        if attempt.is_known_to_run() || attempt.is_untold() {
             return None;
         }
         let stage = if self.is_recorded(&key, attempt) {
@@ -303,7 +368,7 @@
         } else {
             RestartStage::Record
         };
-        Some((stage, now))
+        Some((stage, since))
     }
 
     /// Returns the stage of a task that is on no VM.
--- a/crates/turmeric-jobs/src/scheduler/ends.rs
+++ b/crates/turmeric-jobs/src/scheduler/ends.rs
@@ -233,6 +233,7 @@
         if is_current {
             state.location = None;
         }
+        state.has_run = true;
         let saved = Some(&end.checkpoint)
             .filter(|text| !text.is_empty())
             .or_else(|| attempt.map(|attempt| &attempt.checkpoint))
@@ -303,6 +304,12 @@
         let has_started = |status: &&AttemptStatus| status.is_confirmed || status.percent > 0;
         for status in report.attempts.iter().filter(has_started) {
             self.record_start(status.key, name, wall);
+            let job = self.jobs.get_mut(&status.key.task.job);
+            let state = job.and_then(|job| job.tasks.get_mut(&status.key.task));
+            if let Some(state) = state.filter(|state| state.attempt == status.key.attempt) {
+                state.has_run = true;
+                state.is_inherited = false;
+            }
         }
         let listed = report.attempts.iter().map(|status| status.key).collect();
         let unknown: Vec<(AttemptKey, VmAttempt)> = report
@@ -349,6 +356,10 @@
         // An attempt has ended if the agent has applied orders without it and does not list it.
         let applied_orders = report.applied_orders;
         let listed = &vm.listed;
+        let attempts = vm.attempts.iter_mut();
+        for (_, attempt) in attempts.filter(|(key, _)| !listed.contains(key)) {
+            attempt.record_unlisted(now);
+        }
         let dropped_keys: Vec<AttemptKey> = vm
             .attempts
             .iter()
@@ -546,7 +557,10 @@
     let stalls = job.tasks.get(&key.task).map_or(0, |state| state.stalls);
     // An attempt that an earlier leader ordered counts from the first report that lists it.
     let ordered_at = attempt.first_sent_at.unwrap_or(attempt.progressed_at);
-    let has_started = attempt.is_confirmed || attempt.percent > 0;
+    // One that vanishes without an end is ordered again.
+    let ordered_at = ordered_at.max(attempt.unlisted_since.unwrap_or_default());
+    let was_listed_started = attempt.is_confirmed || attempt.percent > 0;
+    let has_started = was_listed_started && attempt.unlisted_since.is_none();
     is_movable
         && !has_started
         && !attempt.is_unsent()
--- a/crates/turmeric-jobs/src/scheduler/losses.rs
+++ b/crates/turmeric-jobs/src/scheduler/losses.rs
@@ -49,6 +49,11 @@
             return;
         }
         state.location = None;
+        let is_unstarted = matches!(
+            cause,
+            LossCause::Refused | LossCause::Withdrawn | LossCause::Dropped
+        );
+        state.has_run |= !is_unstarted && !attempt.is_unsent();
         if !attempt.checkpoint.is_empty() {
             job.save_checkpoint(&key.task, &attempt.checkpoint);
         }
--- a/crates/turmeric-jobs/src/scheduler/notes.rs
+++ b/crates/turmeric-jobs/src/scheduler/notes.rs
@@ -148,20 +148,24 @@
         kind: EndKind,
     },
     /// A long-running task has not run for longer than the platform allows soon, or waits for
-    /// something else since.
+    /// something else since. One that has never run is named once, while a VM has room for it.
     Absent {
         /// The task.
         task: TaskName,
+        /// An attempt of it has run, or may have.
+        has_run: bool,
         /// What it waits for.
         stage: RestartStage,
-        /// Time since its last run.
+        /// Time since its last run, or since its turn.
         absence: Duration,
     },
-    /// A long-running task runs again.
+    /// A long-running task runs again, or for the first time.
     Resumed {
         /// The task.
         task: TaskName,
-        /// Time since its last run.
+        /// An earlier attempt of it has run, or may have.
+        has_run: bool,
+        /// Time since its last run, or since its turn.
         absence: Duration,
         /// Time that it waited in each stage.
         stages: Vec<(RestartStage, Duration)>,
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -59,6 +59,9 @@
     pace: u32,
     /// When a report last listed it.
     listed_at: Option<MonoTime>,
+    /// Since when reports neither list it nor its end, although an earlier one listed it or an
+    /// earlier leader placed it.
+    pub(crate) unlisted_since: Option<MonoTime>,
     /// Time worked since `percent` last rose, scaled to full speed.
     worked: Duration,
     /// Since when it has run at less than half of its full speed.
@@ -94,6 +97,7 @@
             percent: 0,
             pace: 100,
             listed_at: None,
+            unlisted_since: None,
             worked: Duration::ZERO,
             slowed_since: None,
             progressed_at: MonoTime::default(),
@@ -120,6 +124,7 @@
         now: MonoTime,
     ) -> Option<(Duration, u32)> {
         let progress = self.record_progress(status, now);
+        self.unlisted_since = None;
         self.is_confirmed = status.is_confirmed;
         if status.is_confirmed {
             self.confirmed_since.get_or_insert(now);
@@ -142,6 +147,25 @@
 }
 
 impl VmAttempt {
+    /// Records that a complete report lacks the attempt.
+    pub(crate) fn record_unlisted(&mut self, now: MonoTime) {
+        if self.listed_at.is_some() || self.placed_at == MonoTime::default() {
+            self.unlisted_since.get_or_insert(now);
+        }
+    }
+
+    /// Returns whether the last report says that it runs.
+    pub(crate) fn is_known_to_run(&self) -> bool {
+        self.is_confirmed && self.unlisted_since.is_none()
+    }
+
+    /// Returns whether an earlier leader placed it, and no report has told this one about it.
+    pub(crate) fn is_untold(&self) -> bool {
+        self.placed_at == MonoTime::default()
+            && self.listed_at.is_none()
+            && self.unlisted_since.is_none()
+    }
+
     /// Returns whether it is known to run and, if it is long-running, to have started up.
     pub(crate) fn is_at_work(&self) -> bool {
         self.is_confirmed && self.percent == AT_WORK_PERCENT
--- a/crates/turmeric-jobs/tests/draining.rs
+++ b/crates/turmeric-jobs/tests/draining.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+#[allow(dead_code, reason = "other tests use the rest")]
 mod scene;
 
 use rstest::rstest;
--- a/crates/turmeric-jobs/tests/restart_stages.rs
+++ b/crates/turmeric-jobs/tests/restart_stages.rs
@@ -208,3 +208,277 @@
     scene.pass(100);
     assert_eq!(scene.kept_jobs("b"), [interrupted]);
 }
+
+/// Returns the stage of the only absent task, and since when it is absent.
+fn only_absence(scene: &LeaderScene) -> Option<(RestartStage, u64)> {
+    let mut absences = scene.leader.absences();
+    let absence = absences.next();
+    assert!(absences.next().is_none(), "several tasks are absent");
+    absence.map(|(_, absence)| (absence.stage, absence.since.as_millis()))
+}
+
+/// Guards against a task that a new leader never finds absent: its VM's agent no longer lists the
+/// attempt that an earlier leader placed.
+#[test]
+fn new_leader_sees_a_task_that_is_no_longer_listed_as_absent() {
+    let mut scene = LeaderScene::new(&[("a", 1)]);
+    scene.submit(1, long_running());
+    scene.pass(200);
+    scene.start();
+    scene.pass(100);
+    scene.take_over();
+    let taken_over_at = scene.now;
+    scene.vms.get_mut("a").unwrap().running.clear();
+    scene.pass(300);
+    scene.tick();
+    assert_eq!(only_absence(&scene), None, "the VM has not reported");
+    scene.pass(300);
+    scene.report("a");
+    scene.tick();
+    let expected = (RestartStage::Start, taken_over_at);
+    assert_eq!(only_absence(&scene), Some(expected));
+}
+
+/// Guards against tasks that count as absent after each change of the leader, until it has heard of
+/// them.
+#[test]
+fn new_leader_sees_no_absence_of_a_task_that_runs_on() {
+    let mut scene = LeaderScene::new(&[("a", 1)]);
+    scene.submit(1, long_running());
+    scene.pass(200);
+    scene.start();
+    scene.pass(100);
+    scene.take_over();
+    for _ in 0..10 {
+        scene.tick();
+        assert_eq!(only_absence(&scene), None);
+        scene.pass(300);
+        scene.report("a");
+    }
+}
+
+/// Guards against an absence that counts from the first review of a new leader.
+#[test]
+fn absence_of_a_waiting_task_counts_from_the_takeover() {
+    let (mut scene, _) = scene_with_interrupted_task(LongRunningRestart::First);
+    scene.pass(100);
+    scene.take_over();
+    let taken_over_at = scene.now;
+    scene.pass(900);
+    scene.report("a");
+    scene.tick();
+    let expected = (RestartStage::Capacity, taken_over_at);
+    assert_eq!(only_absence(&scene), Some(expected));
+}
+
+/// Guards against an absence on a silent VM that counts from anything but the last report to the new
+/// leader, or from the takeover if there was none.
+#[rstest]
+#[case::never_heard(false)]
+#[case::heard(true)]
+fn absence_on_a_silent_vm_counts_from_what_the_new_leader_heard(#[case] is_heard: bool) {
+    let mut scene = LeaderScene::new(&[("a", 1)]);
+    scene.submit(1, long_running());
+    scene.pass(200);
+    scene.start();
+    scene.pass(100);
+    scene.take_over();
+    let mut heard_at = scene.now;
+    if is_heard {
+        scene.pass(400);
+        scene.report("a");
+        heard_at = scene.now;
+    }
+    while only_absence(&scene).is_none() {
+        scene.pass(100);
+        scene.tick();
+        assert!(scene.now < heard_at + 2_000, "it is not absent");
+    }
+    let expected = (RestartStage::Leases, heard_at);
+    assert_eq!(only_absence(&scene), Some(expected));
+}
+
+/// Guards against a task that vanishes from its VM's list without an end and counts as running for
+/// good, although the worker does not start it again and another VM would.
+#[test]
+fn task_that_vanishes_without_an_end_moves_unless_it_is_started_again() {
+    let mut scene = LeaderScene::new(&[("a", 1)]);
+    let lasting = scene.submit(1, long_running());
+    scene.pass(200);
+    scene.start();
+    scene.pass(5_000);
+    scene.report("a");
+    scene.add_vm("b", 1);
+    scene.tick();
+    assert_eq!(only_absence(&scene), None);
+    scene.vms.get_mut("a").unwrap().running.clear();
+    scene.pass(300);
+    scene.report_all();
+    scene.tick();
+    let vanished_at = scene.now;
+    let expected = (RestartStage::Start, vanished_at);
+    assert_eq!(only_absence(&scene), Some(expected));
+    assert_eq!(scene.kept_jobs("a"), [lasting], "it is ordered again");
+    while !scene.kept("a").is_empty() {
+        scene.pass(100);
+        scene.report_all();
+        scene.tick();
+        assert!(scene.now <= vanished_at + 3_000, "it is still on the VM");
+    }
+}
+
+/// Guards against a task that is moved although its worker has started it again.
+#[test]
+fn task_that_vanishes_and_is_started_again_stays() {
+    let mut scene = LeaderScene::new(&[("a", 1)]);
+    let lasting = scene.submit(1, long_running());
+    scene.pass(200);
+    scene.start();
+    scene.add_vm("b", 1);
+    let running = std::mem::take(&mut scene.vms.get_mut("a").unwrap().running);
+    scene.report("a");
+    scene.pass(300);
+    scene.vms.get_mut("a").unwrap().running = running;
+    for _ in 0..100 {
+        scene.report_all();
+        scene.tick();
+        assert_eq!(scene.kept_jobs("a"), [lasting]);
+        scene.pass(100);
+    }
+    assert_eq!(only_absence(&scene), None);
+}
+
+/// Guards against an end that is missing from an incomplete report: the attempt may have ended in any
+/// way, which a later report tells.
+#[test]
+fn task_that_an_incomplete_report_lacks_is_not_moved() {
+    let mut scene = LeaderScene::new(&[("a", 1)]);
+    let lasting = scene.submit(1, long_running());
+    scene.pass(200);
+    scene.start();
+    scene.add_vm("b", 1);
+    let vm = scene.vms.get_mut("a").unwrap();
+    vm.running.clear();
+    vm.has_more_ends = true;
+    for _ in 0..100 {
+        scene.pass(100);
+        scene.report_all();
+        scene.tick();
+        assert_eq!(scene.kept_jobs("a"), [lasting]);
+    }
+}
+
+/// Guards against a task of a crashed endpoint whose agent, of an earlier version, reports no crash:
+/// the other incarnation tells that it has ended.
+#[test]
+fn task_of_another_incarnation_is_absent_without_the_news_of_a_crash() {
+    let mut scene = LeaderScene::new(&[("a", 1)]);
+    scene.submit(1, long_running());
+    scene.pass(200);
+    scene.start();
+    scene.pass(400);
+    let vm = scene.vms.get_mut("a").unwrap();
+    vm.running.clear();
+    vm.life += 1;
+    scene.report("a");
+    scene.tick();
+    let (stage, since) = only_absence(&scene).unwrap();
+    assert_eq!(since, scene.now);
+    assert_eq!(stage, RestartStage::Placement);
+}
+
+/// Returns the stages in which tasks that have never run were logged, and how many ran since.
+fn logged_first_waits(scene: &mut LeaderScene) -> (Vec<RestartStage>, usize) {
+    let (mut logged, mut started) = (Vec::new(), 0);
+    for event in scene.leader.take_events().0 {
+        match event {
+            JobEvent::Absent {
+                has_run: false,
+                stage,
+                ..
+            } => logged.push(stage),
+            JobEvent::Resumed { has_run: false, .. } => started += 1,
+            _ => {}
+        }
+    }
+    (logged, started)
+}
+
+/// Guards against a task whose first attempt never starts and that no log line names. It has never
+/// run, so it does not count among the absent ones.
+#[test]
+fn task_that_has_never_run_is_named_with_its_stage() {
+    let mut scene = LeaderScene::new(&[("a", 1)]);
+    scene.vms.get_mut("a").unwrap().starts_nothing = true;
+    scene.submit(1, long_running());
+    scene.pass(200);
+    scene.start();
+    let mut logged = Vec::new();
+    for _ in 0..50 {
+        scene.pass(100);
+        scene.report_all();
+        scene.tick();
+        assert_eq!(only_absence(&scene), None);
+        logged.extend(logged_first_waits(&mut scene).0);
+    }
+    assert_eq!(logged, [RestartStage::Start]);
+    scene.vms.get_mut("a").unwrap().starts_nothing = false;
+    scene.report("a");
+    scene.pass(300);
+    scene.tick();
+    assert_eq!(logged_first_waits(&mut scene), (Vec::new(), 1));
+    assert_eq!(scene.leader.first_waits().count(), 0);
+}
+
+/// Guards against a line for each task that waits in a full fleet: the platform counts no absence
+/// without room.
+#[test]
+fn tasks_that_have_never_run_are_not_logged_without_room() {
+    let mut scene = LeaderScene::new(&[("a", 1)]);
+    for number in 1..=3 {
+        scene.submit(number, long_running());
+    }
+    scene.pass(200);
+    scene.start();
+    for _ in 0..60 {
+        scene.pass(100);
+        scene.report_all();
+        scene.tick();
+        assert_eq!(logged_first_waits(&mut scene).0, []);
+    }
+    let waits = scene.leader.first_waits();
+    let stages: Vec<RestartStage> = waits.map(|(_, absence)| absence.stage).collect();
+    assert_eq!(stages, [RestartStage::Capacity; 2]);
+}
+
+/// Guards against a task that has never run, since its worker rejected it, and that takes the room of
+/// one that was interrupted later.
+#[test]
+fn interrupted_task_goes_before_one_that_was_rejected_earlier() {
+    let mut scene = LeaderScene::new(&[("a", 1), ("b", 1)]);
+    let interrupted = scene.submit(1, long_running());
+    scene.pass(200);
+    scene.start();
+    let on_a = scene.kept_jobs("a") == [interrupted];
+    let (full, empty) = if on_a { ("a", "b") } else { ("b", "a") };
+    let rejected = scene.submit(2, long_running());
+    scene.pass(200);
+    assert_eq!(scene.place(), 1);
+    scene.pass(100);
+    assert_eq!(scene.kept_jobs(empty), [rejected]);
+    let refused = scene.kept(empty);
+    scene.vms.get_mut(empty).unwrap().refused = refused.into_iter().collect();
+    scene.vms.get_mut(empty).unwrap().cores = 0;
+    scene.report(empty);
+    scene.tick();
+    scene.pass(2_000);
+    scene.vms.get_mut(full).unwrap().cores = 0;
+    scene.end(full, interrupted, EndKind::Failed);
+    scene.pass(300);
+    scene.report_all();
+    scene.tick();
+    scene.add_vm("c", 1);
+    assert_eq!(scene.place(), 1);
+    scene.pass(100);
+    assert_eq!(scene.kept_jobs("c"), [interrupted]);
+}
--- a/crates/turmeric-jobs/tests/scene/mod.rs
+++ b/crates/turmeric-jobs/tests/scene/mod.rs
@@ -7,6 +7,7 @@
     AttemptEnd, AttemptKey, AttemptStatus, EndKind, EndpointIncarnation, EndpointInfo, JobCode,
     JobScheduler, JobSpec, LeaderTimeouts, LeaseLimits, QueuePolicy, StepSpec, VmReport, read_key,
 };
+use turmeric_schema::{Message, v1};
 use turmeric_types::{AcceleratorCount, CoreCount, MemorySize, MonoTime, ResourceSet, WallTime};
 
 /// Time between two reports of an agent, in milliseconds.
@@ -78,21 +79,31 @@
     pub leader: JobScheduler,
     pub vms: BTreeMap<&'static str, SceneVm>,
     pub now: u64,
+    epoch: u64,
+    specs: BTreeMap<JobCode, JobSpec>,
+    /// Progress of the jobs in the store.
+    progress: BTreeMap<JobCode, Vec<u8>>,
+}
+
+fn timeouts() -> LeaderTimeouts {
+    LeaderTimeouts {
+        lease: LeaseLimits::new(Duration::from_secs(6)),
+        renewal_window: Duration::from_secs(2),
+        retention: Duration::from_secs(120),
+    }
 }
 
 impl LeaderScene {
     pub fn new(vms: &[(&'static str, u64)]) -> Self {
-        let timeouts = LeaderTimeouts {
-            lease: LeaseLimits::new(Duration::from_secs(6)),
-            renewal_window: Duration::from_secs(2),
-            retention: Duration::from_secs(120),
-        };
         let at = MonoTime::from_millis(1_000);
         let new_vm = |(name, cores): &(&'static str, u64)| (*name, SceneVm::new(*cores));
         let mut scene = Self {
-            leader: JobScheduler::new(timeouts, 1, "e".to_owned(), String::new(), at),
+            leader: JobScheduler::new(timeouts(), 1, "e".to_owned(), String::new(), at),
             vms: vms.iter().map(new_vm).collect(),
             now: 1_000,
+            epoch: 1,
+            specs: BTreeMap::new(),
+            progress: BTreeMap::new(),
         };
         scene.report_all();
         scene
@@ -141,10 +152,25 @@
             steps: vec![step],
             repeat: None,
         };
+        self.specs.insert(code, spec.clone());
         self.leader.add_job(code, spec, self.wall());
         code
     }
 
+    /// Replaces the leader by another one, which knows what the store holds.
+    pub fn take_over(&mut self) {
+        self.epoch += 1;
+        let (epoch, now, wall) = (self.epoch, self.mono(), self.wall());
+        self.leader = JobScheduler::new(timeouts(), epoch, "f".to_owned(), String::new(), now);
+        for (code, spec) in &self.specs {
+            self.leader.add_job(*code, spec.clone(), wall);
+        }
+        for (code, value) in &self.progress {
+            let progress = v1::JobProgress::decode(value.as_slice()).unwrap();
+            self.leader.restore_job(*code, progress);
+        }
+    }
+
     /// Lets time pass; the store confirms a write then.
     pub fn pass(&mut self, millis: u64) {
         self.now += millis;
@@ -154,6 +180,7 @@
     pub fn commit(&mut self) {
         let (now, wall) = (self.mono(), self.wall());
         if let Some(plan) = self.leader.begin_commit(now, wall) {
+            self.progress.extend(plan.progress.iter().cloned());
             self.leader.commit_done(&plan, now);
         }
     }
@@ -171,7 +198,7 @@
         let report = VmReport {
             vm: name.to_owned(),
             zone: "morava-a".to_owned(),
-            epoch: 1,
+            epoch: self.epoch,
             stamp_millis: self.now,
             endpoint_info: Some(EndpointInfo {
                 incarnation: EndpointIncarnation {
