Add up the bounds of restart stages on each path

What callers saw: nothing yet. Each stage of a restart has a bound, but nothing compared their sum on a path with the 9 s that the platform allows, or the 7 s after a disturbance.

The design page lists the paths with their sums; the test computes them from the bounds and requires the same rows on the page. RestartStage::calm_bound is the bound while no leader has crashed and workers carry out starts; the model checks it instead of the wider one wherever that holds.

Six of eight paths keep to the limit.

--- a/crates/turmeric-jobs/src/scheduler/absences.rs
+++ b/crates/turmeric-jobs/src/scheduler/absences.rs
@@ -107,8 +107,21 @@
             Self::Capacity => None,
         }
     }
+
+    /// Returns the same while no leader has crashed either, and workers carry out starts.
+    pub fn calm_bound(self, timeouts: &LeaderTimeouts) -> Option<Duration> {
+        match self {
+            Self::Leases => Some(timeouts.lease.wait()),
+            Self::Start => Some(CALM_START),
+            _ => self.bound(timeouts),
+        }
+    }
 }
 
+/// Time from the order to start an attempt until a report says that it runs, if the worker carries
+/// the order out.
+const CALM_START: Duration = Duration::from_millis(500);
+
 /// The time since the last run of a long-running task, or since its turn if it has never run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TaskAbsence {
--- a/crates/turmeric-jobs/tests/restart_stages.rs
+++ b/crates/turmeric-jobs/tests/restart_stages.rs
@@ -10,7 +10,8 @@
 use rstest::rstest;
 use scene::{LeaderScene, finite, long_running};
 use turmeric_jobs::{
-    EndKind, JobCode, JobEvent, LongRunningRestart, PolicySet, QueuePolicy, RestartStage, StepSpec,
+    EndKind, JobCode, JobEvent, LeaderTimeouts, LeaseLimits, LongRunningRestart, PolicySet,
+    QueuePolicy, RestartStage, StepSpec,
 };
 
 /// Guards against an absence whose cause no log line names, or that is counted from the expiry of
@@ -482,3 +483,163 @@
     scene.pass(100);
     assert_eq!(scene.kept_jobs("c"), [interrupted]);
 }
+
+/// What the bounds of a path count from, with the time that the platform allows from then on.
+#[derive(Clone, Copy)]
+enum PathOrigin {
+    /// The task's last run.
+    LastRun,
+    /// A disturbance, with which calm ends.
+    Disturbance,
+}
+
+impl PathOrigin {
+    const fn allowed_millis(self) -> u128 {
+        match self {
+            Self::LastRun => 9_000,
+            Self::Disturbance => 7_000,
+        }
+    }
+}
+
+/// Whether a path keeps to what the platform allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PathVerdict {
+    Allowed,
+    /// Its bounds exceed it, or a stage has none.
+    Open,
+}
+
+/// Time until an agent's next report, which tells of an end, in milliseconds.
+const NEWS_MILLIS: u128 = 400;
+
+/// Returns the sum of the bounds of stages in milliseconds, and how the design page writes it.
+fn sum_bounds(
+    stages: &[RestartStage],
+    bound: impl Fn(RestartStage) -> Option<Duration>,
+) -> (Option<u128>, String) {
+    let sum: Option<Duration> = stages.iter().map(|stage| bound(*stage)).sum();
+    let sum = sum.map(|sum| sum.as_millis());
+    let text = sum.map_or("none".to_owned(), |sum| {
+        format!("{:.1} s", sum as f64 / 1000.0)
+    });
+    (sum, text)
+}
+
+/// Guards against bounds that are each in order, and whose sum on a path exceeds what the platform
+/// allows. The design page lists the same paths.
+#[rstest]
+#[case::vm_lost(
+    "VM lost, or its worker crashed and not back",
+    &[RestartStage::Leases, RestartStage::Reserved, RestartStage::Record, RestartStage::Start],
+    PathOrigin::LastRun, PathVerdict::Allowed
+)]
+#[case::worker_back(
+    "worker crashed and back, or task failed",
+    &[RestartStage::Reserved, RestartStage::Record, RestartStage::Start],
+    PathOrigin::LastRun, PathVerdict::Allowed
+)]
+#[case::failed_on_suspected_vm(
+    "task failed, and only that VM has room",
+    &[RestartStage::Retry, RestartStage::Placement, RestartStage::Record, RestartStage::Start],
+    PathOrigin::LastRun, PathVerdict::Allowed
+)]
+#[case::one_at_a_time(
+    "task failed, and only VMs that take one task at a time have room",
+    &[RestartStage::Probe, RestartStage::Record, RestartStage::Start],
+    PathOrigin::LastRun, PathVerdict::Open
+)]
+#[case::drained(
+    "VM drained, or task evicted for another cause",
+    &[RestartStage::Stop, RestartStage::Reserved, RestartStage::Record, RestartStage::Start],
+    PathOrigin::LastRun, PathVerdict::Allowed
+)]
+#[case::refused_row(
+    "row refused, from when the store accepts it",
+    &[RestartStage::Row, RestartStage::Placement, RestartStage::Record, RestartStage::Start],
+    PathOrigin::Disturbance, PathVerdict::Allowed
+)]
+fn bounds_of_a_path_add_up_to_what_the_platform_allows(
+    #[case] name: &str,
+    #[case] stages: &[RestartStage],
+    #[case] origin: PathOrigin,
+    #[case] expected: PathVerdict,
+) {
+    let timeouts = daemon_timeouts();
+    let (sum, text) = sum_bounds(stages, |stage| stage.calm_bound(&timeouts));
+    check_path(name, stages, (sum, text), origin, expected);
+}
+
+/// Guards against the same on paths that a crash of the leader, or a worker that carries out no start,
+/// makes longer.
+#[rstest]
+#[case::leader_crashed(
+    "VM lost and leader crashed, from its last write",
+    &[RestartStage::Leases, RestartStage::Reserved, RestartStage::Record],
+    PathVerdict::Open
+)]
+#[case::not_started(
+    "start not carried out, from the order",
+    &[RestartStage::Start, RestartStage::Stop, RestartStage::Reserved, RestartStage::Record],
+    PathVerdict::Allowed
+)]
+fn bounds_of_a_disturbed_path_add_up_to_what_the_platform_allows(
+    #[case] name: &str,
+    #[case] stages: &[RestartStage],
+    #[case] expected: PathVerdict,
+) {
+    let timeouts = daemon_timeouts();
+    let (disturbed, _) = sum_bounds(stages, |stage| stage.bound(&timeouts));
+    // The start that ends the path is carried out.
+    let start = RestartStage::Start.calm_bound(&timeouts).unwrap();
+    let sum = disturbed.unwrap() + start.as_millis();
+    let text = format!("{:.1} s", sum as f64 / 1000.0);
+    let path = [stages, &[RestartStage::Start]].concat();
+    check_path(
+        name,
+        &path,
+        (Some(sum), text),
+        PathOrigin::Disturbance,
+        expected,
+    );
+}
+
+/// The timeouts of the daemon.
+fn daemon_timeouts() -> LeaderTimeouts {
+    LeaderTimeouts {
+        lease: LeaseLimits::new(Duration::from_secs(6)),
+        renewal_window: Duration::from_millis(1400),
+        retention: Duration::from_secs(120),
+    }
+}
+
+fn check_path(
+    name: &str,
+    stages: &[RestartStage],
+    (sum, text): (Option<u128>, String),
+    origin: PathOrigin,
+    expected: PathVerdict,
+) {
+    // The leases count from the last report, the stages after a disturbance from that.
+    let is_known = matches!(origin, PathOrigin::Disturbance) || stages[0] == RestartStage::Leases;
+    let news = if is_known { 0 } else { NEWS_MILLIS };
+    let is_allowed = sum.is_some_and(|sum| sum + news <= origin.allowed_millis());
+    let verdict = if is_allowed {
+        PathVerdict::Allowed
+    } else {
+        PathVerdict::Open
+    };
+    assert_eq!(verdict, expected, "{text} and {news} ms");
+    let page = include_str!("../../../docs/design/restart-stages.md");
+    let labels: Vec<&str> = stages.iter().map(|stage| stage.label()).collect();
+    let limit = match origin {
+        PathOrigin::LastRun => "9 s",
+        PathOrigin::Disturbance => "7 s",
+    };
+    let suffix = if is_allowed { "" } else { ": open" };
+    let row = format!(
+        "| {name} | {} | {text} | {limit}{suffix} |",
+        labels.join(", ")
+    );
+    assert!(page.contains(&row), "the page lacks {row}");
+}
--- a/crates/turmeric-jobs/tests/world/restarts.rs
+++ b/crates/turmeric-jobs/tests/world/restarts.rs
@@ -163,7 +163,13 @@
         };
         let mut late = None;
         for (task, entry) in &self.restarts.entries {
-            let Some(bound) = entry.stage.bound(&timeouts) else {
+            // A change of the leader is a disturbance, and workers that carry out no starts are.
+            let is_calm = self.disturbances.fleet_at < entry.entered_at;
+            let bound = match entry.stage {
+                RestartStage::Start if !is_calm => entry.stage.bound(&timeouts),
+                _ => entry.stage.calm_bound(&timeouts),
+            };
+            let Some(bound) = bound else {
                 continue;
             };
             if !self.is_stage_calm(leader, task, entry) {
