Let suspected tasks and all others take turns on each VM

An endpoint crashes while many tasks are started on it, and all of them become suspects. Each is started alone on its VM, and the VM takes nothing else until 0.3 s after its order.

Each VM now remembers whether the last task that was placed on it was a suspect. If so, others go first, and the next suspect keeps space for itself only; if none takes the turn, the suspect is placed in the same round. If others do, the VM is kept for the suspect until their starts are over 0.2 s old, for 0.5 s at most. So no suspect is placed right beside another start any more, as it was before where the ranking left no other VM. Interrupted long-running tasks that are suspected no longer use up the space that may be reserved for others.

--- a/crates/turmeric-jobs/src/scheduler.rs
+++ b/crates/turmeric-jobs/src/scheduler.rs
@@ -22,6 +22,7 @@
 mod relieve;
 mod restarts;
 mod suspicion;
+mod turns;
 mod vm;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/turmeric-jobs/src/scheduler/crashes.rs
+++ b/crates/turmeric-jobs/src/scheduler/crashes.rs
@@ -244,9 +244,10 @@
                 .is_none_or(|sent| now <= sent.after(ATTRIBUTION_WINDOW))
     }
 
-    /// Returns whether the attempt would share the blame for a crash now.
+    /// Returns whether the attempt would share the blame for a crash now, or soon.
     pub(super) fn is_recent(&self, now: MonoTime) -> bool {
-        let started_at = self.sent_at.unwrap_or(self.placed_at);
-        started_at != MonoTime::default() && now <= started_at.after(SHARED_WINDOW)
+        let is_unsent = self.placed_at != MonoTime::default() && !self.is_confirmed;
+        self.sent_at
+            .map_or(is_unsent, |sent| now <= sent.after(SHARED_WINDOW))
     }
 }
--- a/crates/turmeric-jobs/src/scheduler/moves.rs
+++ b/crates/turmeric-jobs/src/scheduler/moves.rs
@@ -118,7 +118,8 @@
         // them takes more time than all the rest of a placement.
         let mut full_steps: BTreeSet<TaskName> = BTreeSet::new();
         for task in interrupted {
-            if full_steps.contains(&task.first_of_step()) {
+            // Those that may crash their VM wait for a turn, and would keep the space from the others.
+            if full_steps.contains(&task.first_of_step()) || self.may_crash(&task) {
                 continue;
             }
             let Some(target) = self.choose_target("", &task, &mut vms, now) else {
--- a/crates/turmeric-jobs/src/scheduler/place.rs
+++ b/crates/turmeric-jobs/src/scheduler/place.rs
@@ -9,6 +9,7 @@
 use super::moves::FleetCapacity;
 use super::notes::JobEvent;
 use super::suspicion::VmSuspicion;
+use super::turns::SuspectTurns;
 use super::vm::VmAttempt;
 use crate::{
     AttemptKey, AttemptLocation, AttemptNumber, JobCode, JobPhase, JobRank, JobState,
@@ -32,6 +33,7 @@
     /// Jobs that have failed on a suspected VM and are not placed on one for now.
     failing_jobs: BTreeSet<JobCode>,
     usage: ServiceUsage,
+    pub(super) turns: SuspectTurns,
     pub(super) now: MonoTime,
     pub(super) wall: WallTime,
 }
@@ -78,6 +80,7 @@
         if self.is_releasing {
             return 0;
         }
+        let mut placed = self.place_next_suspects(now, wall);
         // What has become free goes first to long-running tasks that run nowhere, then to those of
         // draining endpoints: these may be gone 2 s after their notice, while a finite task only
         // waits for the next end.
@@ -90,12 +93,12 @@
             reserved,
         } = self.fleet_capacity(now);
         if capacities.is_empty() {
-            return 0;
+            return placed;
         }
-        let mut placed = 0;
         let mut round = PlacementRound {
             failing_jobs: self.failing_jobs(&capacities),
             usage: ServiceUsage::new(capacities.values()),
+            turns: self.suspect_turns(),
             capacities,
             reserved,
             failures: PlacementFailures::new(),
@@ -112,6 +115,7 @@
         for code in ranked.iter().filter(|code| failing_jobs.contains(code)) {
             placed += self.place_job(*code, &mut round);
         }
+        placed += self.place_booked(&mut round);
         if self.policies.preemption == PreemptionPolicy::Overdue {
             self.evict_overdue(now, wall);
         }
@@ -121,7 +125,7 @@
     fn place_job(&mut self, code: JobCode, round: &mut PlacementRound) -> usize {
         let chosen = self.choose_vms(code, round);
         let placed = chosen.len();
-        self.commit_choice(code, chosen, round);
+        self.commit_choice(code, chosen, round.now, round.wall);
         placed
     }
 
@@ -130,10 +134,11 @@
         &mut self,
         code: JobCode,
         chosen: Vec<TaskPlacement>,
-        round: &PlacementRound,
+        now: MonoTime,
+        wall: WallTime,
     ) {
-        self.record_placements(code, &chosen, round.wall);
-        self.assign(code, chosen, round.now);
+        self.record_placements(code, &chosen, wall);
+        self.assign(code, chosen, now);
     }
 
     /// Returns the open jobs that have failed on any suspected VM on which tasks may be placed.
@@ -300,7 +305,7 @@
                 });
                 continue;
             }
-            if is_full {
+            if is_full || (is_suspect && round.turns.is_settled(&task, service, step)) {
                 continue;
             }
             let placed = |vm: &str| {
@@ -322,23 +327,25 @@
                     avoided != Some(capacity.vm.as_str()) && !is_excluded(capacity)
                 })
             };
-            // A crash tells most where nothing else has just been started.
-            let shares_blame = |capacity: &VmCapacity| is_suspect && capacity.has_recent_start;
-            let is_preferred = |capacity: &&VmCapacity| {
-                !shares_blame(capacity) && !self.has_rejected(&task, &capacity.vm)
+            let is_preferred = |capacity: &&VmCapacity| !self.has_rejected(&task, &capacity.vm);
+            let has_turn = |capacity: &&VmCapacity| !is_suspect || round.turns.is_open(capacity);
+            let may_book = |capacity: &&VmCapacity| round.turns.may_book(capacity);
+            let has_rejections = self.rejections.contains_key(&task);
+            let starved = PlacementRequest {
+                is_starved: true,
+                ..request
             };
-            let found = choose_vm(&request, open().filter(is_preferred), placed);
-            let has_preference = is_suspect || self.rejections.contains_key(&task);
-            let found =
-                found.or_else(|| has_preference.then(|| choose_vm(&request, open(), placed))?);
-            let found = found.or_else(|| {
-                let starved = PlacementRequest {
-                    is_starved: true,
-                    ..request
-                };
-                let is_alone = is_starved && chosen.is_empty();
-                is_alone.then(|| choose_vm(&starved, open(), placed))?
-            });
+            let find = |request: &PlacementRequest<'_>, with_rejected: bool| {
+                let eligible = || open().filter(|capacity| with_rejected || is_preferred(capacity));
+                let found = choose_vm(request, eligible().filter(has_turn), placed);
+                found.or_else(|| {
+                    is_suspect.then(|| choose_vm(request, eligible().filter(may_book), placed))?
+                })
+            };
+            let is_alone = is_starved && chosen.is_empty();
+            let found = find(&request, false)
+                .or_else(|| has_rejections.then(|| find(&request, true))?)
+                .or_else(|| is_alone.then(|| find(&starved, true))?);
             let Some(found) = found else {
                 // The capacity reserved for the gang's other members is released again,
                 // so a gang's failure says nothing about later tasks.
@@ -349,6 +356,13 @@
                 if avoided.is_some() {
                     continue;
                 }
+                // Other tasks may fit a VM that another suspected one takes next.
+                if is_suspect {
+                    if !has_exclusion {
+                        round.turns.record_failure(service, step);
+                    }
+                    continue;
+                }
                 is_full = true;
                 if !has_exclusion {
                     round.failures.record(service, step);
@@ -356,10 +370,15 @@
                 continue;
             };
             let vm = found.vm.clone();
+            let waits_for_turn = is_suspect && !round.turns.is_open(found);
             let is_probe = found.is_suspect && !step.is_gang;
             if let Some(capacity) = round.capacities.get_mut(&vm) {
                 capacity.add(&task, step, &self.headroom);
             }
+            if waits_for_turn {
+                round.turns.book(&vm, task);
+                continue;
+            }
             if is_suspect || is_probe {
                 round.capacities.remove(&vm);
             }
@@ -454,6 +473,7 @@
                 task: placement.task,
                 attempt: placement.attempt,
             };
+            vm.yields_turn = attempt.is_suspect;
             vm.attempts.insert(key, attempt);
             vm.suspicion.record_placement(now);
         }
--- a/crates/turmeric-jobs/src/scheduler/restarts.rs
+++ b/crates/turmeric-jobs/src/scheduler/restarts.rs
@@ -6,6 +6,8 @@
 
 use std::collections::BTreeSet;
 
+use turmeric_types::WallTime;
+
 use super::JobScheduler;
 use super::place::{PlacementRound, TaskPlacement, is_due};
 use crate::{JobState, LongRunningRestart, PlacementRequest, StepSpec, TaskName, choose_vm};
@@ -39,7 +41,7 @@
                 }
                 continue;
             };
-            let Some((job, step)) = self.restart_step(&task, round) else {
+            let Some((job, step)) = self.restart_step(&task, round.wall) else {
                 continue;
             };
             let attempt = job.tasks.get(&task).map(|state| state.attempt.next());
@@ -52,28 +54,22 @@
                 attempt: attempt.unwrap_or_default(),
                 vm,
             };
-            self.commit_choice(task.job, vec![placement], round);
+            self.commit_choice(task.job, vec![placement], round.now, round.wall);
             placed += 1;
         }
         round.capacities.retain(|vm, _| !used_vms.contains(vm));
         placed
     }
 
-    /// Returns whether a task may crash its VM, so that it is started alone.
-    fn may_crash(&self, task: &TaskName) -> bool {
-        let state = self.jobs.get(&task.job).and_then(|job| job.tasks.get(task));
-        state.is_some_and(|state| state.crashes.is_suspect)
-    }
-
-    /// Returns the job and step of an interrupted task that may be placed now.
-    fn restart_step(
+    /// Returns the job and step of a task that may be placed now by itself.
+    pub(super) fn restart_step(
         &self,
         task: &TaskName,
-        round: &PlacementRound,
+        wall: WallTime,
     ) -> Option<(&JobState, &StepSpec)> {
         let job = self.jobs.get(&task.job)?;
         let step = job.spec.steps.get(task.step as usize)?;
-        let may_start = is_due(job, task.occurrence, round.wall)
+        let may_start = is_due(job, task.occurrence, wall)
             && job.is_ready(&task.first_of_step())
             && self.is_placeable(task.job);
         (may_start && !step.is_gang).then_some((job, step))
@@ -81,7 +77,7 @@
 
     /// Chooses a suspected VM for an interrupted task whose job has not failed there.
     fn choose_suspected_vm(&self, task: &TaskName, round: &PlacementRound) -> Option<String> {
-        let (job, step) = self.restart_step(task, round)?;
+        let (job, step) = self.restart_step(task, round.wall)?;
         let request = PlacementRequest {
             service: self.service(job),
             step,
--- a/crates/turmeric-jobs/src/scheduler/vm.rs
+++ b/crates/turmeric-jobs/src/scheduler/vm.rs
@@ -7,6 +7,7 @@
 
 use super::moves::AT_WORK_PERCENT;
 use super::suspicion::VmSuspicion;
+use super::turns::NextSuspect;
 use crate::{
     AttemptKey, AttemptLocation, AttemptStatus, EndpointIncarnation, EndpointInfo, HeadroomTable,
     JobCode, ServingHeadroom, StepSpec, TaskName, VmCapacity,
@@ -228,6 +229,11 @@
     pub(crate) last_measurement: u64,
     /// Failures on the VM that may be due to the VM.
     pub(crate) suspicion: VmSuspicion,
+    /// The last attempt that was placed on the VM may crash it, so that others go before the next
+    /// one of this kind.
+    pub(crate) yields_turn: bool,
+    /// A task that may crash the VM, for which nothing else is placed there until its start.
+    pub(crate) next_suspect: Option<NextSuspect>,
 }
 
 impl VmState {
@@ -261,6 +267,8 @@
             last_end: 0,
             last_measurement: 0,
             suspicion: VmSuspicion::default(),
+            yields_turn: false,
+            next_suspect: None,
         }
     }
 
@@ -323,10 +331,17 @@
     }
 
     /// Returns whether no task may be placed on the VM for a moment, because it is suspected to be
-    /// faulty, or has just been ordered to start a task that may crash it.
+    /// faulty, or is about to start a task that may crash it, or has just done so.
     fn takes_one_task(&self, now: MonoTime) -> bool {
         let mut attempts = self.attempts.values();
-        attempts.any(|attempt| attempt.is_isolated(now)) || self.suspicion.is_closed(now)
+        attempts.any(|attempt| attempt.is_isolated(now))
+            || self.next_suspect.is_some()
+            || self.suspicion.is_closed(now)
+    }
+
+    /// Returns whether an attempt on the VM would share the blame for a crash now.
+    pub(super) fn has_recent_start(&self, now: MonoTime) -> bool {
+        self.attempts.values().any(|attempt| attempt.is_recent(now))
     }
 
     /// Returns the capacity that the VM has free, also while it takes one task at a time, or [`None`]
@@ -365,7 +380,7 @@
                 .filter(|attempt| attempt.is_best_effort)
                 .count(),
             is_suspect: self.suspicion.is_suspect(now),
-            has_recent_start: self.attempts.values().any(|attempt| attempt.is_recent(now)),
+            has_recent_start: self.has_recent_start(now),
         })
     }
 
--- a/crates/turmeric-jobs/tests/suspected_tasks.rs
+++ b/crates/turmeric-jobs/tests/suspected_tasks.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use scene::{LeaderScene, finite, long_running};
-use turmeric_jobs::{AttemptKey, EndKind, JobCode, QueuePolicy};
+use turmeric_jobs::{AttemptKey, EndKind, JobCode, JobEvent, QueuePolicy};
 
 /// Time between two rounds of placement, in milliseconds.
 const PLACE_MILLIS: u64 = 250;
@@ -17,6 +17,12 @@
 /// Time within which a long-running task that has room gets its turn: 9 s less the other stages.
 const TURN_MILLIS: u64 = 2_500;
 
+/// Time between two starts within which both may be the cause of a crash, in milliseconds.
+const SHARED_MILLIS: u64 = 200;
+
+/// Length of finite tasks, in milliseconds.
+const WORK_MILLIS: u64 = 1_000;
+
 /// Number of the first job that is submitted after the faults.
 const LATE_JOB: u64 = 1_000;
 
@@ -160,3 +166,120 @@
     let waited = scene.now - from;
     assert!(waited <= TURN_MILLIS, "the last one waits {waited} ms");
 }
+
+/// Crashes the endpoint of VM `a` right after the starts of jobs on it, so that they may be the
+/// cause, and lets it come back.
+fn crash_a(scene: &mut LeaderScene, count: usize) {
+    for _ in 0..2 {
+        scene.place();
+        scene.pass(50);
+        let kept = scene.kept("a");
+        scene.vms.get_mut("a").unwrap().running = kept;
+    }
+    assert_eq!(scene.vms["a"].running.len(), count);
+    scene.pass(50);
+    scene.leader.take_events();
+    scene.vms.get_mut("a").unwrap().is_unresponsive = true;
+    scene.report("a");
+    scene.pass(500);
+    restart(scene, "a");
+    let (events, _) = scene.leader.take_events();
+    let crashed = events
+        .iter()
+        .filter(|event| matches!(event, JobEvent::Crashed { .. }));
+    assert_eq!(crashed.count(), count);
+    scene.now = scene.now.next_multiple_of(PLACE_MILLIS);
+    scene.report_all();
+}
+
+/// Returns a scene in which a long-running task has lost its VM `b`, and jobs may have crashed `a`, on
+/// which there is room.
+fn interrupt_beside_suspected_tasks(
+    cores: u64,
+    count: u64,
+    submit: impl Fn(&mut LeaderScene, u64) -> JobCode,
+) -> (LeaderScene, JobCode) {
+    let mut scene = LeaderScene::new(&[("b", 1)]);
+    let lasting = scene.submit(1, long_running());
+    scene.pass(200);
+    scene.start();
+    assert_eq!(scene.kept_jobs("b"), [lasting]);
+    scene.add_vm("a", cores);
+    for number in 0..count {
+        submit(&mut scene, LATE_JOB + number);
+    }
+    scene.pass(200);
+    crash_a(&mut scene, count as usize);
+    scene.tick();
+    scene.pass(500);
+    scene.report_all();
+    scene.vms.get_mut("b").unwrap().cores = 0;
+    restart(&mut scene, "b");
+    scene.tick();
+    (scene, lasting)
+}
+
+/// Guards against an interrupted task that waits for each of the finite tasks that may have crashed a VM.
+#[test]
+fn interrupted_task_goes_between_suspected_tasks() {
+    let (mut scene, lasting) = interrupt_beside_suspected_tasks(100, 40, submit_timely);
+    let mut log = StartLog::default();
+    let waited = play_until_start(&mut scene, &mut log, lasting);
+    assert!(waited <= TURN_MILLIS, "waits {waited} ms");
+}
+
+/// Guards against a job that waits for each of the suspected tasks that rank before it.
+#[test]
+fn later_job_goes_between_suspected_tasks() {
+    let (mut scene, _) = interrupt_beside_suspected_tasks(100, 40, submit_timely);
+    let later = scene.submit(2, finite());
+    let mut log = StartLog::default();
+    let waited = play_until_start(&mut scene, &mut log, later);
+    assert!(waited <= TURN_MILLIS, "waits {waited} ms");
+}
+
+/// Guards against room that is kept for all suspected tasks, while only one of them can take it.
+#[test]
+fn suspected_tasks_keep_no_room_before_their_turn() {
+    let submit = |scene: &mut LeaderScene, number| scene.submit(number, long_running());
+    let (mut scene, lasting) = interrupt_beside_suspected_tasks(20, 20, submit);
+    let mut log = StartLog::default();
+    let waited = play_until_start(&mut scene, &mut log, lasting);
+    assert!(waited <= TURN_MILLIS, "waits {waited} ms");
+}
+
+/// Guards against suspected tasks that wait for good behind others, or are not started alone beside
+/// them, so that a crash would not tell which task is to blame.
+#[test]
+fn suspected_tasks_are_started_alone_beside_a_stream_of_others() {
+    let submit = |scene: &mut LeaderScene, number| scene.submit(number, finite());
+    let (mut scene, lasting) = interrupt_beside_suspected_tasks(1_000, 10, submit);
+    let suspects: Vec<JobCode> = (0..10)
+        .map(|number| JobCode::new(LATE_JOB + number))
+        .collect();
+    let mut log = StartLog::default();
+    for number in 0..400 {
+        submit_timely(&mut scene, 2 * LATE_JOB + number);
+        play(&mut scene, &mut log);
+        let now = scene.now;
+        let ended = log
+            .starts
+            .iter()
+            .filter(|(_, at, _)| at + WORK_MILLIS == now);
+        for job in ended.map(|(_, _, key)| key.task.job).collect::<Vec<_>>() {
+            if job != lasting {
+                scene.end("a", job, EndKind::Done);
+            }
+        }
+    }
+    let starts = log.starts.iter().filter(|(vm, _, _)| *vm == "a");
+    let starts: Vec<(u64, JobCode)> = starts.map(|(_, at, key)| (*at, key.task.job)).collect();
+    for suspect in suspects {
+        let started = starts.iter().find(|(_, job)| *job == suspect);
+        let (started_at, _) = *started.unwrap_or_else(|| panic!("{suspect} is never started"));
+        let beside = starts
+            .iter()
+            .filter(|(at, job)| *job != suspect && at.abs_diff(started_at) <= SHARED_MILLIS);
+        assert_eq!(beside.count(), 0, "{suspect} is not started alone");
+    }
+}
