Bound the restart stage `probe`, and tell `isolation` from it

A long-running task that waits for its turn on a VM waits for one turn of others at most, unless it is suspected itself, is in a gang, or its job has failed on the suspected VM. The stage `probe` is now that of the former tasks only and has a bound of 2.5 s, which is what the other stages leave of 9 s; the latter ones are in `isolation`, which has none.

--- a/crates/turmeric-jobs/src/scheduler/absences.rs
+++ b/crates/turmeric-jobs/src/scheduler/absences.rs
@@ -43,8 +43,11 @@
     /// which its job failed.
     Retry,
     /// Its turn on the only VMs with enough free, which take one task at a time for now: they are
-    /// suspected to be faulty, or have just started a task that may crash them.
+    /// suspected to be faulty, or start a task that may crash them.
     Probe,
+    /// The same, for a task that may crash its VM, whose job has failed on these VMs, or that starts
+    /// only with others.
+    Isolation,
     /// Enough free on any VM.
     Capacity,
     /// The store's record of its new attempt.
@@ -57,13 +60,14 @@
 
 impl RestartStage {
     /// All stages.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Leases,
         Self::Stop,
         Self::Reserved,
         Self::Placement,
         Self::Retry,
         Self::Probe,
+        Self::Isolation,
         Self::Capacity,
         Self::Record,
         Self::Start,
@@ -79,6 +83,7 @@
             Self::Placement => "placement",
             Self::Retry => "retry",
             Self::Probe => "probe",
+            Self::Isolation => "isolation",
             Self::Capacity => "capacity",
             Self::Record => "record",
             Self::Start => "start",
@@ -99,9 +104,10 @@
             Self::Record => Some(Duration::from_millis(1000)),
             // The timeout of a start. Where no other VM has enough free, the task stays.
             Self::Start => Some(Duration::from_millis(3000)),
+            // One turn of another task; 9 s less the other stages.
+            Self::Probe => Some(Duration::from_millis(2500)),
             // Suspected tasks are started one after the other.
-            Self::Probe => None,
-            Self::Capacity | Self::Row => None,
+            Self::Isolation | Self::Capacity | Self::Row => None,
         }
     }
 }
@@ -339,13 +345,24 @@
             }
             stage = RestartStage::Retry;
         }
-        let closed = self.vms.iter().filter(|(name, vm)| {
-            !fleet.vms.contains_key(*name) && !self.closed_zones.contains(&vm.zone)
-        });
-        let mut closed = closed.filter_map(|(name, vm)| vm.capacity(name, &self.headroom, now));
-        let fits = |vm: VmCapacity| request.fits(&vm, || self.count_step(&vm.vm, &first));
-        if stage == RestartStage::Capacity && closed.any(fits) {
-            return RestartStage::Probe;
+        if stage != RestartStage::Capacity {
+            return stage;
+        }
+        let goes_after_others = step.is_gang || self.may_crash(task);
+        for (name, vm) in &self.vms {
+            if fleet.vms.contains_key(name) || self.closed_zones.contains(&vm.zone) {
+                continue;
+            }
+            let capacity = vm.capacity(name, &self.headroom, now);
+            let fits = |vm: VmCapacity| request.fits(&vm, || self.count_step(&vm.vm, &first));
+            if !capacity.is_some_and(fits) {
+                continue;
+            }
+            let is_avoided = avoided == Some(name.as_str());
+            if !goes_after_others && !is_avoided && !vm.suspicion.has_failed(code) {
+                return RestartStage::Probe;
+            }
+            stage = RestartStage::Isolation;
         }
         stage
     }
