Play the loss of a VM whose agent restarted shortly before

The model removed VMs in every order, but not after a restart of their agent beside the living worker, so it missed the wait of 11.3 s that mends. Now the agent restarts 0 s to 4 s before the loss, with leases of 6 s and 10 s, and 1 s after a change of the leader.

Cases that still fail are not among them: the leader changes together with the restart of the agent or after it, and VMs that have joined, or whose worker has restarted under its identifier, shortly before they are lost.

--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -672,6 +672,8 @@
     accepted: Duration,
     drains_before: bool,
     order: RemovalOrder,
+    /// What happens to the VM before the loss.
+    before: fn(usize) -> Vec<WorldEvent>,
     /// Takeovers, each with the round after the loss in which it happens, in ascending order.
     takeovers: Vec<(usize, WorldEvent)>,
 }
@@ -682,10 +684,16 @@
             accepted,
             drains_before,
             order,
+            before: |_| Vec::new(),
             takeovers: Vec::new(),
         }
     }
 
+    fn with_events_before(mut self, before: fn(usize) -> Vec<WorldEvent>) -> Self {
+        self.before = before;
+        self
+    }
+
     fn with_takeovers(mut self, takeovers: Vec<(usize, WorldEvent)>) -> Self {
         self.takeovers = takeovers;
         self
@@ -708,6 +716,7 @@
             order: self.order,
             returns_after: None,
         };
+        play(&mut world, &(self.before)(worker))?;
         let notice = if self.drains_before { 40 } else { 0 };
         play(&mut world, &[removal, rounds(notice)])?;
         let mut passed = 0;
@@ -762,6 +771,31 @@
     plan.check().unwrap();
 }
 
+/// Guards against leaders that wait for the longest lease that a worker accepts: its agent restarted
+/// beside it shortly before the VM was lost, and knows no lease of its predecessor.
+#[rstest]
+fn tasks_of_a_vm_that_is_lost_after_its_agent_restarted_run_again_in_time(
+    #[values(1, 2)] lease: usize,
+    #[values(
+        RemovalOrder::Together,
+        WORKER_FIRST,
+        silent_for_good(WorkerSilence::Mute)
+    )]
+    order: RemovalOrder,
+    #[values(
+        |agent| vec![WorldEvent::KillAgent(agent)],
+        |agent| vec![WorldEvent::KillAgent(agent), rounds(8)],
+        |agent| vec![WorldEvent::KillAgent(agent), rounds(40)],
+        |agent| vec![WorldEvent::KillAgent(agent), rounds(80)],
+        // The leader changes before the restart.
+        |agent| vec![WorldEvent::TakeOver(1), rounds(20), WorldEvent::KillAgent(agent), rounds(8)],
+    )]
+    before: fn(usize) -> Vec<WorldEvent>,
+) {
+    let plan = LossPlan::new(LEASES[lease], false, order).with_events_before(before);
+    plan.check().unwrap();
+}
+
 /// Guards against a check of recovery that cannot fail: both faults are those of issue 72.
 #[rstest]
 #[case::long_wait(WorldFault::LongWait, RemovalOrder::Together)]
