--- a/crates/turmeric-jobs/tests/schedules.rs
+++ b/crates/turmeric-jobs/tests/schedules.rs
@@ -805,6 +805,9 @@
         |agent| vec![WorldEvent::KillAgent(agent), rounds(80)],
         // The leader changes before the restart.
         |agent| vec![WorldEvent::TakeOver(1), rounds(20), WorldEvent::KillAgent(agent), rounds(8)],
+        // Together with the restart, and after it.
+        |agent| vec![WorldEvent::TakeOver(1), WorldEvent::KillAgent(agent), rounds(8)],
+        |agent| vec![WorldEvent::KillAgent(agent), rounds(8), WorldEvent::TakeOver(1), rounds(8)],
     )]
     before: fn(usize) -> Vec<WorldEvent>,
 ) {
@@ -1045,3 +1048,43 @@
         check_recovery(&mut world)?;
     }
 }
+
+/// Guards against leaders that wait for leases which nobody granted to a VM that is lost shortly after
+/// it joined, or after its worker restarted under its identifier.
+#[rstest]
+fn tasks_of_a_newcomer_that_is_lost_run_again_in_time(
+    #[values(1, 2)] lease: usize,
+    #[values(
+        vec![],
+        vec![WorldEvent::KillAgent(3), rounds(8)],
+        vec![rounds(400), WorldEvent::RestartWorker(3), rounds(12)],
+        vec![rounds(400), WorldEvent::RestartWorker(3), rounds(60)],
+        vec![rounds(400), WorldEvent::RestartWorker(3), rounds(12), WorldEvent::KillAgent(3), rounds(8)]
+    )]
+    before: Vec<WorldEvent>,
+) {
+    let mut world = World::new().with_spares(2).with_leases(LEASES[lease]);
+    let start = [rounds(400), SUBMIT_LONG_RUNNING, rounds(60)];
+    play(&mut world, &start).unwrap();
+    let ends = [0, 1, 2].map(|worker| WorldEvent::Retire {
+        worker,
+        rounds: 100,
+    });
+    let join = [WorldEvent::Register { worker: 3 }, rounds(16)];
+    play(&mut world, &[&ends[..], &join, &before].concat()).unwrap();
+    assert_eq!(world.long_running_on(3), 3);
+    let loss = WorldEvent::Remove {
+        worker: 3,
+        drains_before: false,
+        order: RemovalOrder::Together,
+        returns_after: None,
+    };
+    let end = [
+        WorldEvent::Register { worker: 4 },
+        loss,
+        rounds(RECOVERY_ROUNDS),
+    ];
+    play(&mut world, &end).unwrap();
+    let late = world.late_tasks();
+    assert!(late.is_empty(), "absent for over 9 s: {late:?}");
+}
--- a/crates/turmeric-jobs/tests/world/restarts.rs
+++ b/crates/turmeric-jobs/tests/world/restarts.rs
@@ -118,7 +118,11 @@
         for (task, entry) in &self.restarts.entries {
             // A change of the leader is a disturbance, and workers that carry out no starts are.
             let is_calm = self.disturbances.fleet_at < entry.entered_at;
+            // The promise of a leader that was replaced before lasts for its renewal window.
+            let window = TERMS.renewal_window.as_millis() as u64;
+            let is_led = self.disturbances.shared_at + window < entry.entered_at;
             let bound = match entry.stage {
+                RestartStage::Leases if !is_led => entry.stage.bound(&timeouts),
                 RestartStage::Start if !is_calm => entry.stage.bound(&timeouts),
                 _ => entry.stage.calm_bound(&timeouts),
             };
