Assume no earlier grants where no entry has led

Callers saw long-running tasks that did not run for 9.3 s to 9.6 s beside room, stage 'leases', after a VM was lost shortly after its agent had restarted; the leader was the same all the while.

The first leader of a platform found no row and treated it like one of an earlier version: grants for 12 s and the longest lease, 22.6 s where workers accept 10 s. A leader trusts its own grants to the worker of a restarted agent only as far as earlier leaders' leases have expired, so for these 22.6 s it waited for what the agent stated, 10.6 s.

If there is neither a leader's row nor an announced epoch, nothing was granted. The takeover is conditional on the absence of the row. A row that is odd or without a promise, and an epoch that was announced, count as before.

--- a/crates/turmeric-daemon/src/hosted/leadership.rs
+++ b/crates/turmeric-daemon/src/hosted/leadership.rs
@@ -318,7 +318,12 @@
     };
     let taken_over_at = context.clock.now();
     let limits = &context.terms.lease;
-    let earlier_promise = LeasePromise::read(&earlier, limits, written_at);
+    let earlier_promise = if version == 0 && announced == 0 {
+        // No entry has led on this store, so none has granted a lease.
+        LeasePromise::new(taken_over_at)
+    } else {
+        LeasePromise::read(&earlier, limits, written_at)
+    };
     let promise = earlier_promise.take_over(limits, context.terms.renewal_window, taken_over_at);
     promise.write(&mut row, taken_over_at);
     let leadership_row = v1::SeatRow {
