--- a/crates/turmeric-jobs/tests/restart_stages.rs
+++ b/crates/turmeric-jobs/tests/restart_stages.rs
@@ -547,6 +547,16 @@
 #[case::one_at_a_time(
     "task failed, and only VMs that take one task at a time have room",
     &[RestartStage::Probe, RestartStage::Record, RestartStage::Start],
+    PathOrigin::LastRun, PathVerdict::Allowed
+)]
+#[case::lost_and_one_at_a_time(
+    "VM lost, and only VMs that take one task at a time have room",
+    &[RestartStage::Leases, RestartStage::Probe, RestartStage::Record, RestartStage::Start],
+    PathOrigin::LastRun, PathVerdict::Open
+)]
+#[case::suspected_task(
+    "worker crashed and back, and the task may be the cause",
+    &[RestartStage::Isolation, RestartStage::Record, RestartStage::Start],
     PathOrigin::LastRun, PathVerdict::Open
 )]
 #[case::drained(
