Order starts only once an agent takes them

What callers saw: tasks that were ordered while the agent of their VM was being replaced started 0.9 s late.

Cause: an agent that has not fenced its worker ignores orders, but the leader counted the starts in them as sent and repeated them only after 0.9 s. They are left out now while the last report says that the worker is not fenced, and follow with the answer to the first report after it is.

--- a/crates/turmeric-jobs/src/scheduler/orders.rs
+++ b/crates/turmeric-jobs/src/scheduler/orders.rs
@@ -64,6 +64,10 @@
                 continue;
             }
             attempt.dropped_in = None;
+            if vm.stamp_millis.is_none() {
+                // An agent that has not fenced its worker ignores orders.
+                continue;
+            }
             let is_due = attempt
                 .sent_at
                 .is_none_or(|sent| now > sent.after(RESEND_INTERVAL));
--- a/crates/turmeric-jobs/tests/restart_stages.rs
+++ b/crates/turmeric-jobs/tests/restart_stages.rs
@@ -643,3 +643,23 @@
     );
     assert!(page.contains(&row), "the page lacks {row}");
 }
+
+/// Guards against starts that are lost for 0.9 s: an agent that has just been replaced ignores orders
+/// until it has fenced its worker.
+#[test]
+fn starts_are_ordered_as_soon_as_a_new_agent_takes_them() {
+    let mut scene = LeaderScene::new(&[("a", 1)]);
+    scene.submit(1, long_running());
+    scene.pass(200);
+    assert_eq!(scene.place(), 1);
+    scene.vms.get_mut("a").unwrap().is_synced = false;
+    scene.report("a");
+    scene.pass(50);
+    let orders = scene.leader.orders("a", scene.mono()).unwrap();
+    assert_eq!((orders.keep.len(), orders.starts.len()), (1, 0));
+    scene.vms.get_mut("a").unwrap().is_synced = true;
+    scene.pass(50);
+    scene.report("a");
+    let orders = scene.leader.orders("a", scene.mono()).unwrap();
+    assert_eq!((orders.keep.len(), orders.starts.len()), (1, 1));
+}
--- a/crates/turmeric-jobs/tests/scene/mod.rs
+++ b/crates/turmeric-jobs/tests/scene/mod.rs
@@ -45,6 +45,8 @@
     pub has_more_ends: bool,
     /// Number of the incarnation of its endpoint.
     pub life: u64,
+    /// Its agent has fenced the worker.
+    pub is_synced: bool,
 }
 
 impl SceneVm {
@@ -60,6 +62,7 @@
             refused: Vec::new(),
             has_more_ends: false,
             life: 1,
+            is_synced: true,
         }
     }
 
@@ -210,7 +213,7 @@
                 capacity: resources(vm.cores),
                 labels: Vec::new(),
             }),
-            is_synced: true,
+            is_synced: vm.is_synced,
             is_terminated: false,
             is_unresponsive: vm.is_unresponsive,
             attempts: vm.running.iter().map(|key| vm.status(*key)).collect(),
