Rank the waiting task last in a test of room kept for suspected tasks

suspected_tasks_keep_no_room_before_their_turn passed without the fix, since its task ranked before the suspected ones. Now it fails there: the task is never started within 30 s.

--- a/crates/turmeric-jobs/tests/suspected_tasks.rs
+++ b/crates/turmeric-jobs/tests/suspected_tasks.rs
@@ -200,7 +200,7 @@
     submit: impl Fn(&mut LeaderScene, u64) -> JobCode,
 ) -> (LeaderScene, JobCode) {
     let mut scene = LeaderScene::new(&[("b", 1)]);
-    let lasting = scene.submit(1, long_running());
+    let lasting = scene.submit_with_priority(1, 1, long_running());
     scene.pass(200);
     scene.start();
     assert_eq!(scene.kept_jobs("b"), [lasting]);
