--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -15,8 +15,8 @@
 use super::metrics::count;
 use super::pacing::pace;
 
-/// Long-poll timeout: how long the worker waits for an attempt to end. Leases are renewed between two
-/// polls.
+/// Long-poll timeout: how long the worker waits for an attempt to end. Polls that renew leases do not
+/// wait.
 const POLL_WAIT: Duration = Duration::from_millis(240);
 
 /// Wait after a failed long poll.
--- a/crates/turmeric-jobs/src/lease.rs
+++ b/crates/turmeric-jobs/src/lease.rs
@@ -150,7 +150,7 @@
         let longest_millis = reading
             .worker_millis
             .saturating_add(longest.as_millis() as u64);
-        // A token that another agent has replaced: it may have brought any deadline.
+        // Another agent had replaced the token, and may have brought any deadline.
         let is_repeated = std::mem::replace(&mut self.is_fenced, true);
         if is_repeated || now <= self.unanswered_until {
             self.record_deadline(longest_millis);
--- a/crates/turmeric-jobs/src/scheduler/leases.rs
+++ b/crates/turmeric-jobs/src/scheduler/leases.rs
@@ -183,7 +183,7 @@
         let known_end = renewed().map(|(_, vm)| vm.all_leases_end_at()).max();
         let mut ends_at = known_end.unwrap_or(now).max(now);
         if !self.is_releasing {
-            // Only an agent of whose reports leases count.
+            // Leases count only from reports of agents that have fenced their workers.
             let reporting =
                 renewed().filter(|(_, vm)| vm.is_reachable(now) && vm.stamp_millis.is_some());
             let waits = reporting.filter_map(|(_, vm)| vm.renewable_wait);
