--- a/crates/turmeric-jobs/tests/lease_waits.rs
+++ b/crates/turmeric-jobs/tests/lease_waits.rs
@@ -570,6 +570,43 @@
     assert!(promise.end_on("b") <= longest.after(Duration::from_millis(1)));
 }
 
+/// Guards against a promise for all VMs that grows by the longest lease, because the agent of one, of a
+/// version that does not state its own wait, has not fenced its worker yet.
+#[test]
+fn agent_that_has_not_fenced_its_worker_lengthens_no_promise() {
+    let mut scene = LossScene::with_known_promise(10);
+    let limits = scene.limits;
+    for _ in 0..3 {
+        let unfenced = VmReport {
+            endpoint_info: None,
+            is_synced: false,
+            lease_wait: Some(limits.earlier_wait()),
+            own_lease_wait: None,
+            ..scene.agent_report("b", false)
+        };
+        let wall = scene.wall();
+        scene.now = scene.now.after(REPORT_INTERVAL);
+        scene.report("a", false);
+        scene.leader.handle_report(unfenced, scene.now, wall);
+        scene.step();
+    }
+    let promise = LeasePromise::read(&scene.row, &limits, scene.row_written_at);
+    let longest = scene.row_written_at.after(RENEWAL_WINDOW + limits.wait());
+    assert!(promise.end_on("a") <= longest.after(Duration::from_millis(1)));
+}
+
+/// Guards against a promise for all VMs that counts the longest lease as if it could be renewed.
+#[test]
+fn longest_lease_of_a_restarted_worker_is_promised_once() {
+    let mut scene = LossScene::with_known_promise(10);
+    let restarted_at = scene.now;
+    scene.restart_agent(2);
+    scene.pass(Duration::from_millis(1_200), &BOTH);
+    let promise = LeasePromise::read(&scene.row, &scene.limits, scene.row_written_at);
+    let longest = restarted_at.after(scene.limits.earlier_wait());
+    assert!(promise.end_on("b") <= longest.after(Duration::from_millis(1)));
+}
+
 /// Guards against two runs of one task: a worker that has restarted under its identifier takes a
 /// deadline by its earlier clock for the longest lease that it accepts.
 #[test]
