--- a/crates/turmeric-daemon/src/hosted/worker_loop.rs
+++ b/crates/turmeric-daemon/src/hosted/worker_loop.rs
@@ -333,7 +333,7 @@
     count(&state.metrics.worker_calls, name, answer_label(answer));
     let now = state.clock.now();
     let mut core = state.core();
-    if answer == WorkerAnswer::Unknown && name == "start" {
+    if answer == WorkerAnswer::Unknown && matches!(command, WorkerCommand::Start(_)) {
         core.lease.record_unanswered(now);
     }
     if core.table.incarnation() != Some(&incarnation) {
--- a/crates/turmeric-jobs/src/scheduler/leases.rs
+++ b/crates/turmeric-jobs/src/scheduler/leases.rs
@@ -140,19 +140,16 @@
             return None;
         }
         let earlier_end = self.leases.earlier_end_on(&report.vm);
-        let Some(vm) = self.vms.get(&report.vm) else {
-            let is_new = self.leases.is_ungranted(&report.vm, now);
-            return is_new.then_some(earlier_end);
-        };
-        if vm.info.is_none() {
-            // The leader that placed an attempt there knew all leases of that incarnation.
-            let mut attempts = vm.attempts.values();
-            let is_known = attempts.any(|attempt| attempt.location.incarnation == *incarnation);
-            let is_new = vm.attempts.is_empty() && self.leases.is_ungranted(&report.vm, now);
-            return (is_known || is_new).then_some(earlier_end);
+        let vm = self.vms.get(&report.vm);
+        if let Some(vm) = vm.filter(|vm| vm.info.is_some()) {
+            let granted_end = vm.granted_end.filter(|_| vm.is_incarnation(incarnation))?;
+            return Some(granted_end.max(earlier_end));
         }
-        let granted_end = vm.granted_end.filter(|_| vm.is_incarnation(incarnation))?;
-        Some(granted_end.max(earlier_end))
+        // The leader that placed an attempt there knew all leases of that incarnation.
+        let mut attempts = vm.iter().flat_map(|vm| vm.attempts.values()).peekable();
+        let is_new = attempts.peek().is_none() && self.leases.is_ungranted(&report.vm, now);
+        let is_known = attempts.any(|attempt| attempt.location.incarnation == *incarnation);
+        (is_new || is_known).then_some(earlier_end)
     }
 
     /// Grants the leases that the confirmed row covers.
--- a/crates/turmeric-jobs/src/scheduler/restarts.rs
+++ b/crates/turmeric-jobs/src/scheduler/restarts.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: the only VM with room is suspected to be faulty, and takes one task at a time.
 //! Finite jobs rank before long-running ones, and a stream of them takes every turn. A long-running
-//! task that has run may be away for 9 s, while a finite one only waits for the next turn.
+//! task that has run may be absent for 9 s, while a finite one only waits for the next turn.
 
 use std::collections::BTreeSet;
 
