--- a/crates/turmeric-jobs/src/scheduler/absences.rs
+++ b/crates/turmeric-jobs/src/scheduler/absences.rs
@@ -21,7 +21,8 @@
 const LOGGED_ABSENCE: Duration = Duration::from_secs(4);
 
 /// Most waiting tasks for which a review checks all VMs, so that it takes under 1% of the
-/// leader's time. The others keep the stage that they had. At most as many that have never run are followed.
+/// leader's time. The others keep the stage that they had. At most as many that have never run
+/// are followed.
 const CHECK_LIMIT: usize = 64;
 
 /// Time from the release of a leadership, or the last write of a crashed leader, until another
